--- a/aniseflow/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""aniseflow: the decisions of a balancer for long-lived connections."""
--- /dev/null
+++ b/puffindeck/__init__.py
@@ -0,0 +1,1 @@
+"""puffindeck: the decisions of a balancer for long-lived connections."""
--- /dev/null
+++ b/puffindeck/__main__.py
@@ -0,0 +1,40 @@
+"""One real node, from what its environment tells it to SIGTERM."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.logger import FileLogObserver, globalLogBeginner
+
+from puffindeck import config
+from puffindeck.core.clock import Clock
+from puffindeck.net.logs import line
+from puffindeck.net.node import Node
+
+reactor: Any = default_reactor
+
+
+def main() -> int:
+    """Run until told to stop. Configuration that can't be used ends it with one line."""
+    try:
+        told = config.node(os.environ)
+    except config.ConfigError as error:
+        print(f"puffindeck: {error}", file=sys.stderr)
+        return 2
+    observer: Any = FileLogObserver(sys.stdout, line)
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
+    gc.freeze()  # what was loaded stays; the collector need not look at it again
+    node = Node(reactor, told, Clock())
+    node.start()
+    signal.signal(signal.SIGTERM, lambda number, frame: reactor.callFromThread(node.stop))
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/aniseflow/adapter.py
+++ b/puffindeck/benchlink.py
@@ -7,9 +7,9 @@
 import sys
 from typing import BinaryIO
 
-from aniseflow import wire
-from aniseflow.choice import Balancer
-from aniseflow.interface import Event
+from puffindeck import config, wire
+from puffindeck.choice import Balancer
+from puffindeck.interface import Event
 
 
 def answer(instances: dict[int, Balancer], body: bytes, count: int, now: float, batch: int) -> bytes:
@@ -26,7 +26,7 @@
             text = data[wire.OPEN_INSTANCE.size :]
             if len(text) < size:
                 raise wire.WireError("truncated frame: the settings are cut short")
-            instances[current] = Balancer(wire.settings(text[:size]), seed)
+            instances[current] = Balancer(config.settings(text[:size]), seed)
             pending[current] = []
         elif code == wire.STOP:
             instances.pop(current, None)
@@ -71,7 +71,7 @@
     try:
         run(sys.stdin.buffer, sys.stdout.buffer)
     except (wire.WireError, struct.error, ValueError) as error:
-        print(f"aniseflow: {error}", file=sys.stderr)
+        print(f"puffindeck: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/aniseflow/choice.py
+++ b/puffindeck/choice.py
@@ -1,4 +1,4 @@
-"""All decisions of the balancer. Its types, events and actions are in aniseflow/interface.py.
+"""All decisions of the balancer. Its types, events and actions are in puffindeck/interface.py.
 
 A connection's key is hashed onto a ring of virtual nodes; it goes to the first server clockwise whose load
 from this gateway is under BOUND x the mean per ready server, else spills onward. Everything else is a
@@ -18,7 +18,7 @@
 from struct import Struct
 from typing import Any
 
-from aniseflow.interface import (
+from puffindeck.interface import (
     NEVER_RAN, Action, Began, Cancel, ClassSettings, ClientLeft, DelayTold, Effect, Ended, Entry, Event, Fail,
     Follow, Listed, ListKind, LoadTold, Log, Move, Opened, Outcome, Refuse, Requested, Scope, Send, Settings,
     State, Wake, Woken,
--- /dev/null
+++ b/puffindeck/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes, whatever wire they come over."""
--- /dev/null
+++ b/puffindeck/core/engine.py
@@ -0,0 +1,368 @@
+"""The life of requests and their attempts: events to the decision module, its actions carried out.
+
+The engine knows no wire. A front brings clients and opens links; the engine holds the module and the front to
+what every wire needs: one final answer for each request, one attempt out at a time, no more attempts than
+allowed, time-outs cut to the client's deadline, and one end told for each attempt.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Any, NamedTuple, Protocol
+
+from twisted.logger import Logger
+
+from puffindeck.choice import Balancer
+from puffindeck.core.clock import ZERO, ms, span
+from puffindeck.core.deadlines import Deadline, Deadlines
+from puffindeck.core.slots import Slots
+from puffindeck.interface import (
+    Action,
+    Began,
+    Cancel,
+    ClientLeft,
+    DelayTold,
+    Ended,
+    Entry,
+    Event,
+    Fail,
+    Follow,
+    Listed,
+    ListKind,
+    LoadTold,
+    Log,
+    Move,
+    Opened,
+    Outcome,
+    Refuse,
+    Requested,
+    Send,
+    Settings,
+    State,
+    Wake,
+    Woken,
+)
+
+log = Logger("puffindeck")
+
+LATE = span(15)  # how long after its deadline a request that the module has not answered is failed
+DRAIN_MARGIN = span(100)  # how long before the end of a drain's grace nothing more is begun
+TELL_DELAY = span(1000)  # how often a server's message delay is told while it is high
+
+
+class Ticket(NamedTuple):
+    """An attempt: its request's number in the table, and its own among the request's."""
+
+    request: int
+    attempt: int
+
+
+class Link(Protocol):
+    """A front's side of an attempt, and of the connection that it becomes."""
+
+    def give_up(self) -> None:
+        """End it; nothing more is told of it."""
+
+
+class Client(Protocol):
+    """A front's side of a request: whoever waits for its answer."""
+
+    def open(self, ticket: Ticket, server: int, until: timedelta) -> Link | None:
+        """Start an attempt. None if it has ended already, which has then been told."""
+
+    def began(self, link: Link) -> None:
+        """The final answer: served by what this link leads to."""
+
+    def refuse(self, wait: timedelta) -> None:
+        """The final answer: trying again, after a wait, does no harm."""
+
+    def fail(self) -> None:
+        """The final answer: failed, and nothing is known of what was done."""
+
+    def move(self) -> None:
+        """Its connection stands; send it away politely and end the link."""
+
+
+class Request(NamedTuple):
+    """What a client asks for."""
+
+    cls: int
+    key: int
+    left: timedelta
+    hint: float = 0.0
+    group: int = 0
+    returning: bool = False
+
+
+class Held:
+    """A request in its slot, until it is answered and its last attempt has ended."""
+
+    __slots__ = ("answered", "attempts", "begun", "client", "deadline", "expiry", "guard", "link", "number",
+                 "out", "sent", "server")
+
+    def __init__(self, client: Client, deadline: timedelta) -> None:
+        self.client, self.deadline = client, deadline
+        self.number = self.attempts = self.server = 0
+        self.answered = self.out = self.begun = False
+        self.sent = ZERO
+        self.link: Link | None = None
+        self.expiry: Deadline | None = None
+        self.guard: Deadline | None = None
+
+
+class Engine:
+    """One gateway: its decision module and the requests it has taken."""
+
+    def __init__(
+        self, balancer: Balancer, settings: Settings, deadlines: Deadlines, follow: Callable[[], None]
+    ) -> None:
+        self.balancer, self.settings, self.deadlines, self.follow = balancer, settings, deadlines, follow
+        self.clock = deadlines.clock
+        self.held: Slots[Held] = Slots()
+        self.closing = False
+        self._events: deque[Event] = deque()
+        self._busy = False
+        self._unfit: dict[int, timedelta] = {}  # servers that drain or are gone, and since when that is known
+        self._listed: set[int] = set()
+        self._grace = max(ZERO, span(settings.drain_grace_ms) - DRAIN_MARGIN)
+        aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0]
+        self._worth_telling = span(min(aims, default=100.0) / 3)
+        self._told: dict[int, tuple[timedelta, bool]] = {}  # by server: when its delay was told, and if high
+        self._do: dict[type[Any], Callable[[Any], None]] = {
+            Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Move: self._move,
+            Wake: self._wake, Follow: lambda action: self.follow(), Log: self._log,
+        }
+
+    # Events in, actions out
+
+    def tell(self, *events: Event) -> None:
+        """Hand events to the module and do what it says. What that brings about at once comes after."""
+        self._events.extend(events)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                batch = list(self._events)
+                self._events.clear()
+                for action in self._decide(batch):
+                    self._do[type(action)](action)
+        finally:
+            self._busy = False
+
+    def _decide(self, batch: Iterable[Event]) -> list[Action]:
+        try:
+            return self.balancer.handle(ms(self.clock.now()), batch)
+        except Exception:  # each request's guard still answers it in time
+            log.failure("decision failed")
+            return []
+
+    # From the front: the list
+
+    def listed(self, kind: ListKind, version: int = 0, entries: Iterable[Entry] = ()) -> None:
+        """News of the server list, or that it can't be had."""
+        entries, now = list(entries), self.clock.now()
+        fit = {e.server for e in entries if e.state == State.READY}
+        unfit = {e.server for e in entries if e.state != State.READY}
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            unfit |= self._listed - fit
+            self._listed = set()
+        self._listed |= fit | unfit
+        for server in unfit:
+            self._unfit.setdefault(server, now)
+        for server in fit:
+            self._unfit.pop(server, None)
+        self.tell(Listed(kind, version, entries))
+
+    def may_reach(self, server: int) -> bool:
+        """Rule 3 again, right before an attempt's first byte: its connect may have taken its time."""
+        since = self._unfit.get(server)
+        return since is None or self.clock.now() - since < self._grace
+
+    # From the front: requests
+
+    def request(self, client: Client, asked: Request) -> int:
+        """Take a request; its number. The client is answered once, before its time is up."""
+        deadline = self.clock.now() + asked.left
+        held = Held(client, deadline)
+        held.number = number = self.held.add(held)
+        held.guard = self.deadlines.at(deadline + LATE, self._overdue, number)
+        self.tell(Requested(number, asked.cls, 0, asked.key, ms(asked.left), asked.hint, asked.group,
+                            returning=asked.returning))
+        return number
+
+    def opened(self, client: Client, asked: Request, server: int) -> Ticket:
+        """Take a connection that was open before the start. Its link is the front's to set up."""
+        held = Held(client, self.clock.now())
+        held.number = number = self.held.add(held)
+        held.attempts, held.out, held.begun, held.answered, held.server = 1, True, True, True, server
+        self.tell(Opened(number, server, asked.cls, 0, asked.hint, asked.group, asked.key))
+        return Ticket(number, 0)
+
+    def linked(self, ticket: Ticket, link: Link) -> None:
+        """The link of a connection that was open before the start is up."""
+        held = self._current(ticket)
+        if held is not None:
+            held.link = link
+
+    def client_left(self, number: int) -> None:
+        """The client has gone; what is out for it is given up."""
+        held = self.held.get(number)
+        if held is None:
+            return
+        if not held.begun:
+            held.answered = True
+            self.tell(ClientLeft(number))
+        if held.out:
+            self._cut(held, Outcome.CANCELLED)
+        self._settle(held)
+
+    # From the front: attempts and connections
+
+    def _current(self, ticket: Ticket) -> Held | None:
+        held = self.held.get(ticket.request)
+        return held if held is not None and held.out and ticket.attempt == held.attempts - 1 else None
+
+    def began(self, ticket: Ticket) -> bool:
+        """The connection stands. False if nobody waits for it any more."""
+        held = self._current(ticket)
+        if held is None or held.answered or held.link is None:
+            return False
+        held.begun = held.answered = True
+        self.deadlines.cancel(held.expiry)
+        self.deadlines.cancel(held.guard)
+        held.client.began(held.link)
+        took = ms(self.clock.now() - held.sent)
+        self.tell(Began(ticket.request, held.server, took, ticket.attempt))
+        return True
+
+    def ended(self, ticket: Ticket, outcome: Outcome) -> None:
+        """An attempt, or the connection that it became, has ended. Told once; later word is ignored."""
+        held = self._current(ticket)
+        if held is None:
+            return
+        held.out, held.link = False, None
+        self.deadlines.cancel(held.expiry)
+        if outcome == Outcome.OK:
+            held.answered = True
+        took = ms(self.clock.now() - held.sent)
+        self._settle(held)
+        self.tell(Ended(ticket.request, outcome, held.server, ticket.attempt, held.answered, took))
+
+    def load(self, ticket: Ticket, load: float) -> None:
+        """A connection's load, as its server tells it."""
+        held = self._current(ticket)
+        if held is not None:
+            self.tell(LoadTold(ticket.request, held.server, load))
+
+    def delay(self, ticket: Ticket, delay: timedelta) -> None:
+        """How long a message took on a connection: told each second while high, and once it no longer is."""
+        held = self._current(ticket)
+        if held is None:
+            return
+        now, high = self.clock.now(), delay > self._worth_telling
+        last, was_high = self._told.get(held.server, (ZERO, False))
+        if (high and now - last >= TELL_DELAY) or (was_high and not high):
+            self._told[held.server] = now, high
+            self.tell(DelayTold(ticket.request, held.server, ms(delay)))
+
+    # The module's actions
+
+    def _send(self, action: Send) -> None:
+        held = self.held.get(action.request)
+        if held is None:
+            return
+        ticket = Ticket(action.request, held.attempts)
+        if held.answered or held.out or held.attempts >= self.settings.max_attempts:
+            held.attempts += not held.out
+            self.tell(Ended(action.request, Outcome.MOOT, action.server, ticket.attempt, held.answered, 0.0))
+            return
+        now = self.clock.now()
+        until = min(held.deadline, now + span(action.timeout_ms)) if action.timeout_ms else held.deadline
+        held.attempts += 1
+        held.out, held.server, held.sent = True, action.server, now
+        if until <= now:
+            self.ended(ticket, Outcome.TIMEOUT)
+            return
+        held.expiry = self.deadlines.at(until, self._expired, ticket)
+        link = held.client.open(ticket, action.server, until)
+        if self._current(ticket) is held:
+            held.link = link
+
+    def _expired(self, ticket: Ticket) -> None:
+        held = self._current(ticket)
+        if held is not None and not held.begun:
+            self._cut(held, Outcome.TIMEOUT)
+
+    def _cut(self, held: Held, outcome: Outcome) -> None:
+        link = held.link
+        self.ended(Ticket(held.number, held.attempts - 1), outcome)
+        if link is not None:
+            link.give_up()
+
+    def _settle(self, held: Held) -> None:
+        """Free the slot of a request that is owed nothing and waits for nothing."""
+        if held.answered and not held.out:
+            self.deadlines.cancel(held.guard)
+            self.held.drop(held.number)
+
+    def _unanswered(self, number: int) -> Held | None:
+        held = self.held.get(number)
+        if held is None or held.answered:
+            return None
+        held.answered = True
+        self.deadlines.cancel(held.guard)
+        return held
+
+    def _refuse(self, action: Refuse) -> None:
+        held = self._unanswered(action.request)
+        if held is not None:
+            held.client.refuse(span(action.wait_ms))
+            self._settle(held)
+
+    def _fail(self, action: Fail) -> None:
+        held = self._unanswered(action.request)
+        if held is not None:
+            held.client.fail()
+            self._settle(held)
+
+    def _overdue(self, number: int) -> None:
+        """Rule 1 does not hang on the module alone."""
+        held = self._unanswered(number)
+        if held is not None:
+            log.warn("request {number} was not answered in time: failed", number=number)
+            held.client.fail()
+            if held.out:
+                self._cut(held, Outcome.TIMEOUT)
+            else:
+                self.tell(ClientLeft(number))
+            self._settle(held)
+
+    def _cancel(self, action: Cancel) -> None:
+        held = self._current(Ticket(action.request, action.attempt))
+        if held is not None and not held.begun:
+            self._cut(held, Outcome.CANCELLED)
+
+    def _move(self, action: Move) -> None:
+        held = self.held.get(action.request)
+        if held is not None and held.begun and held.out:
+            held.client.move()
+            self.ended(Ticket(held.number, held.attempts - 1), Outcome.CANCELLED)
+
+    def _wake(self, action: Wake) -> None:
+        self.deadlines.after(span(action.in_ms), self.tell, Woken(action.token))
+
+    def _log(self, action: Log) -> None:
+        log.info("module: {text}", text=action.text)
+
+    # The end
+
+    def standing(self) -> list[int]:
+        """The requests whose connections stand."""
+        return [held.number for held in self.held if held.begun and held.out]
+
+    def send_away(self, number: int) -> None:
+        """Move a client because this gateway stops."""
+        self._move(Move(number))
--- a/aniseflow/interface.py
+++ b/puffindeck/interface.py
@@ -70,6 +70,7 @@
     scope: Scope = Scope.ALL
     window_ms: float = 0.0
     message_aim_ms: float = 0.0
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,6 +96,9 @@
     cross_zone_price: float = 0.0
     over_share_worth: float = 1.0
     tenant_connections: tuple[float, ...] = ()  # open connections within share, all gateways together
+    max_wait_ms: float = 0.0  # the longest wait that a refused client follows; 0: it is told none
+    zones: tuple[str, ...] = ()  # the names behind the numbers of zones, and of kinds of machine
+    kinds: tuple[str, ...] = ()
 
 
 # Events
--- /dev/null
+++ b/puffindeck/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's front: lines of text over TCP, and discovery over HTTP."""
--- /dev/null
+++ b/puffindeck/net/client.py
@@ -0,0 +1,272 @@
+"""A client's connection: its first line becomes a request, and once served its bytes pass as they are."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.logger import Logger
+from twisted.protocols.basic import LineReceiver
+
+from puffindeck.core.clock import ZERO, ms, span
+from puffindeck.core.engine import Link as CoreLink
+from puffindeck.core.engine import Request, Ticket
+from puffindeck.interface import Outcome
+from puffindeck.net.heads import CRLF, MAX_LINE, Head, HeadError
+from puffindeck.net.host import Link, close
+
+if TYPE_CHECKING:
+    from puffindeck.net.node import Node
+
+log = Logger("puffindeck")
+
+EARLY = 65536  # bytes that a client may send before it is served
+HALF_LINE = span(700)  # how long a MOVE waits for the end of a line
+FIRST_LINE = span(30000)  # how long a connection may be without a first line
+AT_WAIT, AT_TRY = span(40000), span(300)  # a connection from before the run: how long, how often it is tried
+
+
+class ClientLine(LineReceiver):
+    """One client. Its request stands in the engine's table; its link, once there is one, is its host's."""
+
+    delimiter = CRLF
+    MAX_LENGTH = MAX_LINE
+    transport: Any
+
+    def __init__(self, node: Node) -> None:
+        self.node, self.engine, self.deadlines = node, node.engine, node.deadlines
+        self.request = 0
+        self.link: Link | None = None
+        self._head: Head | None = None
+        self._early: list[bytes] = []
+        self._early_size = 0
+        self._line_open = False  # in the middle of a host's line
+        self._moving = self._over = False
+        self._ticket: Ticket | None = None  # of a connection that was open before the run
+        self._server = 0
+        self._until = ZERO
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.node.clients.add(self)
+        self._patience = self.deadlines.after(FIRST_LINE, self._idle)
+
+    def _idle(self) -> None:
+        if self._head is None:
+            self._finish()
+
+    # The first line
+
+    def lineReceived(self, line: bytes) -> None:
+        if self._over:
+            return
+        if line == b"PING":
+            self.deadlines.cancel(self._patience)
+            self.node.when_ready(self.pong)
+            return
+        try:
+            head = Head(line)
+            cls = self.node.classes.get(head.cls)
+            if cls is None:
+                raise HeadError(f"class {head.cls[:40]!r} is not known")
+        except HeadError as error:
+            log.warn("client: first line can't be read: {error}", error=error)
+            self._answer(b"ERR")
+            return
+        self._head = head
+        self.deadlines.cancel(self._patience)
+        self.setRawMode()
+        left = head.left or ZERO
+        asked = Request(cls, head.key, left, head.hint, head.group, head.returning)
+        if head.at:
+            self._server = self.node.directory.number(head.at)
+            self._until = self.deadlines.clock.now() + AT_WAIT
+            self._ticket = self.engine.opened(self, asked, self._server)
+            self.request = self._ticket.request
+            self._try_at()
+        elif self.node.stopping or self.node.crowded():
+            self.refuse(self.node.come_back())
+        else:
+            self.request = self.engine.request(self, asked)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        log.warn("client: first line over 4 KiB")
+        self._answer(b"ERR")
+
+    def pong(self) -> None:
+        if not self._over:
+            self.sendLine(b"PONG")
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self.link is not None and self.link.up:
+            self.link.send(data)
+        elif not self._over:
+            self._early.append(data)
+            self._early_size += len(data)
+            if self._early_size > EARLY:
+                self.transport.pauseProducing()
+
+    # The engine's client: answers, attempts
+
+    def open(self, ticket: Ticket, server: int, until: timedelta) -> CoreLink | None:
+        """Start an attempt at a host."""
+        assert self._head is not None
+        address = self.node.directory.addresses.get(server)
+        link = Link(self, self.engine, self.deadlines, ticket, server, self.node.directory.name(server),
+                    self._head, until)
+        if address is None:
+            link.finish(Outcome.CONNECT_FAILED)
+            return None
+        link.connect(self.node.reactor, address, self.node.connect_patience)
+        return None if link.done else link
+
+    def refuse(self, wait: timedelta) -> None:
+        self._answer(b"BUSY %d" % ms(wait) if wait > ZERO else b"BUSY")
+
+    def fail(self) -> None:
+        self._answer(b"ERR")
+
+    def _answer(self, line: bytes) -> None:
+        if not self._over:
+            self.sendLine(line)
+            self._finish()
+
+    def _finish(self) -> None:
+        """Nothing more is to be said."""
+        if not self._over:
+            self._over = True
+            close(self.transport, self.deadlines, lambda: self in self.node.clients)
+
+    # Connections that were open before the run
+
+    def _try_at(self) -> None:
+        """Set it up again where it was, as often as it takes: it is the host's already."""
+        if self._over or self._ticket is None or self._head is None:
+            return
+        host = self.node.directory.name(self._server)
+        if self.deadlines.clock.now() >= self._until:
+            log.warn("client: the connection at {host} did not come up again", host=host)
+            self.engine.ended(self._ticket, Outcome.RESET)
+            self.fail()
+            return
+        address = self.node.directory.addresses.get(self._server)
+        if address is None:  # not in a list yet
+            self.deadlines.after(AT_TRY, self._try_at)
+            return
+        link = Link(
+            self, self.engine, self.deadlines, self._ticket, self._server, host, self._head, self._until
+        )
+        self.engine.linked(self._ticket, link)
+        link.connect(self.node.reactor, address, self.node.connect_patience)
+
+    # Once served
+
+    def began(self, link: CoreLink) -> None:
+        """Hand the host's own line back, then let all pass."""
+        assert isinstance(link, Link)
+        self.link = link
+        self.transport.writeSequence([link.receipt, CRLF])
+
+    def host_up(self, link: Link) -> bool:
+        if self._ticket is None:
+            return self.engine.began(link.ticket)
+        if self._over:
+            return False
+        self.began(link)
+        return True
+
+    def link_ended(self, link: Link, outcome: Outcome) -> None:
+        if self._ticket is not None and not link.up and not self._over:
+            self.deadlines.after(AT_TRY, self._try_at)
+        else:
+            self.engine.ended(link.ticket, outcome)
+
+    def ready_for(self, link: Link) -> None:
+        """Join both sides: each is read only as fast as the other takes what it sends."""
+        if self._over or link.line is None:
+            return
+        host = link.line.transport
+        self.transport.registerProducer(host, True)
+        host.registerProducer(self.transport, True)
+        early, self._early = self._early, []
+        if early:
+            link.send(b"".join(early))
+        if self._early_size > EARLY:
+            self.transport.resumeProducing()
+
+    def from_host(self, data: bytes) -> None:
+        """Pass on what the host sends; a client that is to move gets no more than the line it is in."""
+        if self._over:
+            return
+        if self._moving:
+            end = data.find(b"\n") + 1
+            self.transport.write(data[:end] if end else data)
+            if end:
+                self._say_move()
+            return
+        self._line_open = not data.endswith(b"\n")
+        self.transport.write(data)
+
+    def host_ended(self, clean: bool) -> None:
+        """End the client's side as the host ended its own."""
+        if self._over:
+            return
+        if self._moving:
+            self._say_move()
+        elif clean:
+            self._finish()
+        else:
+            self._over = True
+            self.transport.abortConnection()
+
+    def move(self) -> None:
+        """Send the client away between two lines."""
+        if self._over or self._moving:
+            return
+        if self._line_open and self.link is not None and not self.link.done:
+            self._moving = True
+            self.deadlines.after(HALF_LINE, self._say_move)
+        else:
+            self._say_move()
+
+    def _say_move(self) -> None:
+        if self._over:
+            return
+        if self._line_open and not self._moving:
+            log.warn("client: moved in the middle of a line")
+        self._answer(b"MOVE")
+        if self.link is not None:
+            self.link.give_up()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.node.clients.discard(self)
+        self.deadlines.cancel(self._patience)
+        if self._over:
+            return
+        self._over = True
+        link = self.link
+        if link is not None:
+            if reason.check("twisted.internet.error.ConnectionDone"):
+                link.give_up()
+            else:
+                link.abort()
+        if self.request:
+            self.engine.client_left(self.request)
+
+    def silent(self) -> None:
+        """The host has gone silent: to the module a reset, to the client a MOVE."""
+        link = self.link
+        if link is None or link.done or self._moving:
+            return
+        log.warn("host {host}: silent, its client is moved", host=link.host)
+        self.move()
+        self.engine.ended(link.ticket, Outcome.RESET)
+
+    def close_out(self) -> None:
+        """The node ends: whatever is left is answered or moved now."""
+        if self.link is not None:
+            self._say_move()
+        elif self._head is not None:
+            self.refuse(self.node.come_back())
+        else:
+            self._finish()
--- /dev/null
+++ b/puffindeck/net/host.py
@@ -0,0 +1,251 @@
+"""A client's own connection to its host: an attempt first, and what the client is served by once it is up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, Protocol
+
+from twisted.internet.interfaces import IPullProducer
+from twisted.internet.protocol import ClientFactory
+from twisted.logger import Logger
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from puffindeck.core.clock import ZERO, span
+from puffindeck.core.deadlines import Deadline, Deadlines
+from puffindeck.core.engine import Engine, Ticket
+from puffindeck.interface import Outcome
+from puffindeck.net.heads import CRLF, MAX_LINE, Head
+
+log = Logger("puffindeck")
+
+LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
+TAIL = 16  # bytes kept of what a host sent last: its last line tells how it ended
+ENDS = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
+ANSWERS = {**ENDS, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL, b"SYNTAX": Outcome.ERROR}
+
+
+class Waiting(Protocol):
+    """The client's side of a link."""
+
+    def host_up(self, link: Link) -> bool:
+        """The host is up: is there still somebody to hand it to?"""
+
+    def link_ended(self, link: Link, outcome: Outcome) -> None:
+        """The attempt is over, or the connection that it became."""
+
+    def from_host(self, data: bytes) -> None: ...
+
+    def host_ended(self, clean: bool) -> None: ...
+
+    def ready_for(self, link: Link) -> None: ...
+
+
+def close(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
+    """End a connection with all that was written, or without it if the other side does not take it."""
+    transport.unregisterProducer()
+    transport.loseConnection()
+    deadlines.after(LINGER, lambda: connected() and transport.abortConnection())
+
+
+@implementer(IPullProducer)
+class HostLine(LineReceiver):
+    """The lines of a host."""
+
+    delimiter = CRLF
+    MAX_LENGTH = MAX_LINE
+    transport: Any
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self._head_out = False
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.link.connected(self)
+
+    # As a producer of its own head it is asked for more once every byte of it is written: till then a break
+    # is a failed connect, after that a reset.
+
+    def send_head(self) -> None:
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        if self._head_out:
+            self.transport.unregisterProducer()
+            self.link.written = True
+        else:
+            self._head_out = True
+            self.transport.writeSequence(self.link.head_parts())
+
+    def stopProducing(self) -> None:
+        """The transport is gone."""
+
+    def lineReceived(self, line: bytes) -> None:
+        self.link.answered(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        log.warn("host {host}: a line over 4 KiB for an answer", host=self.link.host)
+        self.link.finish(Outcome.ERROR)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        self.link.data(data)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.link.lost(reason)
+
+
+class Link(ClientFactory):
+    """One attempt at a host, from its connect to the end of the connection that it may become."""
+
+    noisy = False
+
+    def __init__(
+        self, client: Waiting, engine: Engine, deadlines: Deadlines, ticket: Ticket, server: int, host: str,
+        head: Head, until: timedelta,
+    ) -> None:
+        self.client, self.engine, self.deadlines = client, engine, deadlines
+        self.ticket, self.server, self.host = ticket, server, host
+        self._head, self._until = head, until
+        self.written = self.up = self.done = False
+        self.receipt = b""
+        self.line: HostLine | None = None
+        self._connector: Any = None
+        self._patience: Deadline | None = None
+        self._tail = b""
+        self._began = ZERO
+        self.rtt = ZERO  # what the way there and back takes, as its connect told
+        self.asked: timedelta | None = None  # since when a client's line is without an answer
+
+    def connect(self, reactor: Any, address: tuple[str, int], patience: timedelta) -> None:
+        """Try to reach the host. Only the deadlines' one timer runs on it, not one of the reactor's own."""
+        self._began = self.deadlines.clock.now()
+        self._patience = self.deadlines.after(patience, self._unreachable)
+        try:
+            self._connector = reactor.connectTCP(*address, self, timeout=None)
+        except Exception as error:  # no descriptor left, or an address of no use: never a crash
+            log.warn("host {host}: can't connect: {error}", host=self.host, error=error)
+            self.finish(Outcome.CONNECT_FAILED)
+
+    def _unreachable(self) -> None:
+        self.finish(Outcome.CONNECT_FAILED)
+
+    def buildProtocol(self, addr: object) -> HostLine:
+        return HostLine(self)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.finish(Outcome.CONNECT_FAILED)
+
+    def connected(self, line: HostLine) -> None:
+        self.line = line
+        self.deadlines.cancel(self._patience)
+        if self.done:
+            line.transport.abortConnection()
+            return
+        self.rtt = self.deadlines.clock.now() - self._began
+        if not self.engine.may_reach(self.server):
+            log.info("host {host}: drains since the connect began: not sent", host=self.host)
+            self.finish(Outcome.CONNECT_FAILED)
+            return
+        line.send_head()
+
+    def head_parts(self) -> list[bytes]:
+        return self._head.parts(self._until - self.deadlines.clock.now())
+
+    def answered(self, line: bytes) -> None:
+        """The host's first line."""
+        if self.done or self.line is None:
+            return
+        if line.startswith(b"UP ") or line == b"UP":
+            self.receipt = line
+            if not self.client.host_up(self):
+                self.give_up()
+                return
+            self.up = self.written = True
+            self.line.transport.unregisterProducer()
+            self._tail = CRLF
+            self.line.setRawMode()
+            self.client.ready_for(self)
+            return
+        outcome = ANSWERS.get(line.strip())
+        if outcome is None or line == b"SYNTAX":
+            log.warn("host {host}: unexpected answer {line!r}", host=self.host, line=line[:80])
+        self.finish(outcome or Outcome.ERROR)
+
+    def data(self, data: bytes) -> None:
+        """What an open connection's host sends."""
+        if self.done:
+            return
+        now = self.deadlines.clock.now()
+        if self.asked is not None:
+            asked, self.asked = self.asked, None
+            self.engine.delay(self.ticket, max(ZERO, now - asked - self.rtt))
+            if self.done:  # the module has moved the client on that
+                return
+        if b"LOAD " in data:
+            self._loads(data)
+        self._tail = (self._tail + data)[-TAIL:]
+        self.client.from_host(data)
+
+    def _loads(self, data: bytes) -> None:
+        for line in data.split(CRLF):
+            if line.startswith(b"LOAD "):
+                try:
+                    self.engine.load(self.ticket, float(line[5:]))
+                except ValueError:
+                    log.warn("host {host}: no load: {line!r}", host=self.host, line=line[:80])
+
+    def send(self, data: bytes) -> None:
+        """What the client sends on an open connection."""
+        if self.line is not None and not self.done:
+            if self.asked is None:
+                self.asked = self.deadlines.clock.now()
+            self.line.transport.write(data)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Tell how the attempt ended, then see to its connection."""
+        if not self.done:
+            self.give_up()
+            self.client.link_ended(self, outcome)
+
+    def lost(self, reason: Any) -> None:
+        """The connection is no more."""
+        line, self.line = self.line, None
+        if self.done:
+            return
+        self._end()
+        if not self.up:
+            self.client.link_ended(self, Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+            return
+        clean = line is not None and reason.check("twisted.internet.error.ConnectionDone") is not None
+        last = self._tail.split(CRLF)
+        outcome = ENDS.get(last[-2]) if len(last) > 2 and not last[-1] else None
+        self.client.host_ended(clean)
+        self.client.link_ended(self, outcome or Outcome.RESET)
+
+    def _end(self) -> None:
+        self.done = True
+        self.deadlines.cancel(self._patience)
+
+    def give_up(self) -> None:
+        """Close the connection, or stop connecting. The host sees its end; no second copy goes anywhere."""
+        if self.done:
+            return
+        self._end()
+        if self.line is not None:
+            close(self.line.transport, self.deadlines, lambda: self.line is not None)
+        elif self._connector is not None:
+            self._connector.disconnect()
+
+    def abort(self) -> None:
+        """End it as a broken connection ends."""
+        if not self.done:
+            self._end()
+            if self.line is not None:
+                self.line.transport.abortConnection()
+
+    def waited(self, now: timedelta) -> timedelta:
+        """How long a client's line has been without an answer."""
+        return ZERO if self.asked is None else now - self.asked
--- /dev/null
+++ b/puffindeck/net/node.py
@@ -0,0 +1,138 @@
+"""One real node: its sockets, its list, its end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from twisted.internet.protocol import Factory
+from twisted.logger import Logger
+
+from puffindeck.choice import Balancer
+from puffindeck.config import Node as Told
+from puffindeck.core.clock import Clock, span
+from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.engine import Engine
+from puffindeck.interface import ListKind
+from puffindeck.net.client import ClientLine
+from puffindeck.net.directory import Directory
+from puffindeck.net.discovery import Watch
+
+log = Logger("puffindeck")
+
+BACKLOG = 1024  # a storm's connections, all within one turn of the reactor
+SPARE = 64  # descriptors kept from clients: the log, discovery, connections on their way out
+SWEEP = span(500)  # how often open connections are looked over for hosts gone silent
+SILENT = span(4500)  # a client's line without an answer this long: two more lines have gone unanswered since
+COME_BACK = span(150)  # when a client refused by a node without room may come again
+ACCEPT = span(450)  # how long a stopping node still takes connections, to send them elsewhere
+SEND_AWAY = span(2000)  # over how long it spreads its MOVEs, so that they don't come back in one storm
+STOP = span(3300)  # by when it has ended
+
+
+class ClientFactory(Factory):
+    """Hands each accepted connection its protocol."""
+
+    noisy = False
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def buildProtocol(self, addr: object) -> ClientLine:
+        return ClientLine(self.node)
+
+
+class Node:
+    """The program's parts, joined."""
+
+    def __init__(self, reactor: Any, told: Told, clock: Clock) -> None:
+        self.reactor, self.told = reactor, told
+        settings = told.settings
+        self.deadlines = Deadlines(clock, reactor)
+        self.directory = Directory(settings.zones, settings.kinds)
+        self.classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self.connect_patience = span(settings.connect_timeout_ms)
+        balancer = Balancer(settings, told.seed)
+        self.engine = Engine(balancer, settings, self.deadlines, lambda: self.watch.ask())
+        self.watch = Watch(
+            reactor, told.discovery, self.deadlines, self.directory, self.engine, told.known.rev, self._ready
+        )
+        self.clients: set[ClientLine] = set()
+        self.ready = self.stopping = False
+        self._waiting: list[Callable[[], None]] = []
+        self.port: Any = None
+
+    def start(self) -> None:
+        """Listen, and ask for the list; readiness comes with the first answer, be it that there is none."""
+        host, port = self.told.listen
+        self.port = self.reactor.listenTCP(port, ClientFactory(self), backlog=BACKLOG, interface=host)
+        known = self.told.known
+        self.engine.listed(ListKind.CACHED, known.rev, self.directory.entries(known))
+        self.deadlines.after(SWEEP, self._sweep)
+        log.info("node {name}: listening on {host}:{port}", name=self.told.name, host=host, port=port)
+
+    def _ready(self) -> None:
+        if not self.ready:
+            self.ready = True
+            log.info("node {name}: ready", name=self.told.name)
+            waiting, self._waiting = self._waiting, []
+            for act in waiting:
+                act()
+
+    def when_ready(self, act: Callable[[], None]) -> None:
+        """Do it once the node serves: never on one that stops."""
+        if self.stopping:
+            return
+        if self.ready:
+            act()
+        else:
+            self._waiting.append(act)
+
+    def crowded(self) -> bool:
+        """Are there too few descriptors left for one more client and its host? Each takes two."""
+        return 2 * len(self.clients) + SPARE > self.told.sockets or self.engine.held.full()
+
+    def come_back(self) -> timedelta:
+        return COME_BACK
+
+    def _sweep(self) -> None:
+        """Find the connections whose host no longer answers: the client is sent to another."""
+        now = self.deadlines.clock.now()
+        for client in list(self.clients):
+            link = client.link
+            if link is not None and not link.done and link.waited(now) > SILENT:
+                client.silent()
+        self.deadlines.after(SWEEP, self._sweep)
+
+    # The end
+
+    def stop(self) -> None:
+        """Answer all, move every standing connection, and go."""
+        if self.stopping:
+            return
+        self.stopping = True
+        standing = self.engine.standing()
+        log.info("node {name}: stopping, {count} to move", name=self.told.name, count=len(standing))
+        for i, number in enumerate(standing):
+            self.deadlines.after(SEND_AWAY * i / len(standing), self.engine.send_away, number)
+        self.deadlines.after(ACCEPT, self.port.stopListening)
+        self._stop_at = self.deadlines.clock.now() + STOP
+        self.deadlines.after(ACCEPT + SWEEP, self._stopped)
+
+    def _stopped(self) -> None:
+        """Once nothing is left, or it is time."""
+        late = self.deadlines.clock.now() >= self._stop_at
+        if late:
+            for client in list(self.clients):
+                client.close_out()
+        else:
+            for number in self.engine.standing():  # those that came up meanwhile
+                if self.deadlines.clock.now() >= self._stop_at - STOP + SEND_AWAY:
+                    self.engine.send_away(number)
+        if not self.clients or late:
+            self.watch.stop()
+            log.info("node {name}: stopped", name=self.told.name)
+            self.deadlines.after(span(300 if self.clients else 0), self.reactor.stop)
+        else:
+            self.deadlines.after(span(50), self._stopped)
--- a/aniseflow/wire.py
+++ b/puffindeck/wire.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterable
 from struct import Struct
 from typing import Any
 
-from aniseflow.interface import (
+from puffindeck.interface import (
     Action,
     Began,
     Cancel,
-    ClassSettings,
     ClientLeft,
     DelayTold,
-    Effect,
     Ended,
     Entry,
     Event,
@@ -29,9 +26,7 @@
     Outcome,
     Refuse,
     Requested,
-    Scope,
     Send,
-    Settings,
     State,
     Wake,
     Woken,
@@ -69,7 +64,7 @@
 
 
 class WireError(Exception):
-    """A frame or the settings in it can't be read."""
+    """A frame can't be read."""
 
 
 def records(body: bytes, count: int) -> Iterable[tuple[int, bytes]]:
@@ -190,72 +185,3 @@
     """A whole reply."""
     body = b"".join(parts)
     return REPLY.pack(len(parts), len(body) + 4, batch) + body
-
-
-EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
-SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
-
-
-def _need(table: Any, path: str) -> Any:
-    for key in path.split("."):
-        if not isinstance(table, dict) or key not in table:
-            raise WireError(f"settings: {path} is missing")
-        table = table[key]
-    return table
-
-
-def _number(table: Any, path: str, low: float = 0.0) -> float:
-    value = _need(table, path)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < low:
-        raise WireError(f"settings: {path} must be a number of {low:g} or more")
-    return float(value)
-
-
-def settings(text: bytes) -> Settings:
-    """The settings in the first message of an instance."""
-    try:
-        table = json.loads(text)
-    except ValueError as error:
-        raise WireError(f"settings: not JSON: {error}") from None
-    family = (table.get("familyInfo") or {}) if isinstance(table, dict) else {}
-    limits, prices = _need(table, "limits"), table.get("prices") or {}
-    aims = family.get("messageAimMs") or []
-    classes = []
-    for i, item in enumerate(_need(table, "classes")):
-        effect, scope = _need(item, "repeat"), item.get("group", "all")
-        if effect not in EFFECTS or scope not in SCOPES:
-            raise WireError(f"settings: classes[{i}].repeat or .group is not known")
-        classes.append(
-            ClassSettings(
-                aim_ms=_number(item, "aimMs"),
-                deadline_ms=_number(item, "hardLimitMs"),
-                worth=float(item.get("worth", 1.0)),
-                effect=EFFECTS[effect],
-                scope=SCOPES[scope],
-                window_ms=float(item.get("keyTtlMs", 0.0)),
-                message_aim_ms=float(aims[i]) if i < len(aims) else 0.0,
-            )
-        )
-    return Settings(
-        classes=tuple(classes),
-        gateways=int(_number(table, "peersTotal", 1)),
-        zone=int(table.get("locality", 0)),
-        max_attempts=int(_number(limits, "maxAttempts", 1)),
-        drain_grace_ms=_number(table, "rules.drainGraceMs"),
-        answer_slack_ms=_number(table, "rules.answerSlackMs"),
-        cold_from=_number(table, "rules.coldFrom"),
-        cold_ms=_number(table, "rules.warmAfterMs"),
-        fall_multiple=_number(table, "rules.overloadFactor"),
-        fall_ms=_number(table, "rules.fallMs"),
-        period_ms=float(table.get("periodMs", 1.0)),
-        connect_timeout_ms=float(limits.get("connectTimeoutMs", 250.0)),
-        must_ask=table.get("membershipMode") == "subscribe",
-        ask_within_ms=float(table["rules"].get("askWithinMs", 10000.0)),
-        can_cancel=bool(limits.get("cancelling", False)),
-        weighted=table.get("weights", "silent") in ("nominal", "rough"),
-        cross_zone_price=float(prices.get("crossZone", 0.0)),
-        over_share_worth=float(table.get("overShareWorth", 1.0)),
-        tenant_connections=tuple(
-            float("inf") if q is None else float(q) for q in family.get("tenantQuotaConnections") or []
-        ),
-    )
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Lint, types and tests. Wants what requirements-dev.txt names on the path.
+set -eu
+cd "$(dirname "$0")/.."
+ruff check puffindeck tests
+mypy
+python -m pytest
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from aniseflow.choice import BOUND, FLOOR
-from aniseflow.interface import (
+from puffindeck.choice import BOUND, FLOOR
+from puffindeck.interface import (
     Began,
     ClientLeft,
     DelayTold,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from aniseflow.interface import ClassSettings, Effect, Scope
+from puffindeck.interface import ClassSettings, Effect, Scope
 from tests.world import SETTINGS, RuleBook
 
 CLASSES = {
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""The simulator's wire, the adapter, the README's example and the limits of the decision module."""
+"""The simulator's wire, the bench link, the README's example and the limits of the decision module."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 
 import pytest
 
-from aniseflow import adapter, wire
-from aniseflow.interface import DelayTold, Ended, Listed, LoadTold, Outcome, Requested, State
+from puffindeck import benchlink, config, wire
+from puffindeck.interface import DelayTold, Ended, Listed, LoadTold, Outcome, Requested, State
 
 ROOT = Path(__file__).parent.parent
 TABLE = {
@@ -50,7 +50,7 @@
 
 def run(*batches: bytes) -> bytes:
     sink = io.BytesIO()
-    adapter.run(io.BytesIO(b"".join(batches)), sink)
+    benchlink.run(io.BytesIO(b"".join(batches)), sink)
     return sink.getvalue()
 
 
@@ -107,11 +107,11 @@
 
 
 def test_what_cant_be_read_ends_with_one_plain_line() -> None:
-    done = subprocess.run([sys.executable, "-m", "aniseflow.adapter"], input=batch(1, *start())[:-3],
+    done = subprocess.run([sys.executable, "-m", "puffindeck.benchlink"], input=batch(1, *start())[:-3],
                           capture_output=True, cwd=ROOT)
     assert done.returncode != 0
     assert done.stdout == b""
-    assert re.fullmatch(rb"aniseflow: truncated frame: .*\n", done.stderr)
+    assert re.fullmatch(rb"puffindeck: truncated frame: .*\n", done.stderr)
 
 
 def test_an_outcome_not_known_may_have_run() -> None:
@@ -122,13 +122,13 @@
 
 @pytest.mark.parametrize("key", ["classes", "peersTotal", "limits", "rules"])
 def test_a_missing_setting_is_named(key: str) -> None:
-    with pytest.raises(wire.WireError, match=key):
-        wire.settings(json.dumps({k: v for k, v in TABLE.items() if k != key}).encode())
+    with pytest.raises(config.ConfigError, match=key):
+        config.settings(json.dumps({k: v for k, v in TABLE.items() if k != key}).encode())
 
 
 def test_a_wrong_setting_is_named() -> None:
-    with pytest.raises(wire.WireError, match="peersTotal"):
-        wire.settings(json.dumps({**TABLE, "peersTotal": "two"}).encode())
+    with pytest.raises(config.ConfigError, match="peersTotal"):
+        config.settings(json.dumps({**TABLE, "peersTotal": "two"}).encode())
 
 
 def test_a_decision_that_fails_is_told() -> None:
@@ -145,6 +145,6 @@
 
 
 def test_the_decision_module_stays_readable() -> None:
-    lines = [line for line in (ROOT / "aniseflow/choice.py").read_text().splitlines() if line.strip()]
+    lines = [line for line in (ROOT / "puffindeck/choice.py").read_text().splitlines() if line.strip()]
     assert len(lines) <= 650
     assert max(map(len, lines)) <= 110
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from aniseflow.choice import Balancer
-from aniseflow.interface import (
+from puffindeck.choice import Balancer
+from puffindeck.interface import (
     NEVER_RAN,
     Action,
     Began,
