Stories over loopback for the node, and the QUIC front's first draft

Stories: served unchanged, connections from before the run, PONG, silent host, stopping, the outcome table, a host down or mute, clients that leave, malformed lines, descriptors running out, drains, broken watches. Each waits on events, on port 0.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from argparse import ArgumentParser
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
@@ -21,8 +22,11 @@
 
 def main() -> int:
     """Run until told to stop. Configuration that can't be used ends it with one line."""
+    arguments = ArgumentParser(prog="puffindeck", description="One real node.")
+    arguments.add_argument("--config", default="", metavar="FILE", help="an operator's file, for EDGE_CONFIG")
+    chosen = arguments.parse_args()
     try:
-        told = config.node(os.environ)
+        told = config.node(os.environ, chosen.config)
     except config.ConfigError as error:
         print(f"puffindeck: {error}", file=sys.stderr)
         return 2
--- a/puffindeck/config.py
+++ b/puffindeck/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -138,8 +139,24 @@
     sockets: int = 1024
 
 
+class QuicTable(msgspec.Struct):
+    """The QUIC front, off where an operator's file has no such table."""
+
+    listen: str
+    class_: str = msgspec.field(name="class", default="")
+    config_id: int = 0
+    server_id_length: int = 4
+    nonce_length: int = 8
+    key: str = ""
+    connections: int = 2048
+    deadline_ms: float = 0.0
+    idle_s: float = 30.0
+    silent_s: float = 5.0
+    boxes: dict[str, str] = msgspec.field(default_factory=dict)
+
+
 class NodeFile(msgspec.Struct):
-    """EDGE_CONFIG, as far as a node reads it itself."""
+    """EDGE_CONFIG, or an operator's file, as far as a node reads it itself."""
 
     settings: dict[str, Any]
     name: str = ""
@@ -148,6 +165,23 @@
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
     known: Members | None = None
+    quic: QuicTable | None = None
+
+
+class Quic(msgspec.Struct, frozen=True):
+    """The QUIC front, checked."""
+
+    listen: tuple[str, int]
+    cls: int
+    deadline: timedelta
+    idle: timedelta
+    silent: timedelta
+    config_id: int
+    server_id_length: int
+    nonce_length: int
+    key: bytes
+    connections: int
+    boxes: dict[bytes, str]  # a server id as the connection ids have it, and whose it is
 
 
 class Node(msgspec.Struct, frozen=True):
@@ -155,11 +189,12 @@
 
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int]
+    discovery: tuple[str, int] | None  # None: the list of the file is all there is
     seed: int
     sockets: int
     known: Members
     settings: Settings
+    quic: Quic | None = None
 
 
 def address(text: str, key: str) -> tuple[str, int]:
@@ -171,27 +206,83 @@
     return host, int(port)
 
 
-def node(environment: Mapping[str, str]) -> Node:
-    """What the environment and the file that it names tell a node."""
-    path = environment.get("EDGE_CONFIG")
+def _octets(text: str, key: str) -> bytes:
+    try:
+        return bytes.fromhex(text)
+    except ValueError:
+        raise ConfigError(f"{key} must be hexadecimal, not {text!r}") from None
+
+
+def quic(table: QuicTable, settings: Settings) -> Quic:
+    """The QUIC front's table, checked."""
+    names = [c.name for c in settings.classes]
+    if table.class_ and table.class_ not in names:
+        raise ConfigError(f"quic.class must be one of {', '.join(names)}, not {table.class_!r}")
+    cls = names.index(table.class_) if table.class_ else 0
+    if not (0 <= table.config_id <= 6):
+        raise ConfigError("quic.config_id must be 0 to 6")
+    if not 1 <= table.server_id_length <= 15:
+        raise ConfigError("quic.server_id_length must be 1 to 15")
+    if not 4 <= table.nonce_length <= 19 - table.server_id_length:
+        raise ConfigError("quic.nonce_length must be 4 or more, and 19 or less with server_id_length")
+    key = _octets(table.key, "quic.key")
+    if len(key) not in (0, 16):
+        raise ConfigError("quic.key must have 16 octets")
+    if table.connections < 1:
+        raise ConfigError("quic.connections must be 1 or more")
+    for name, value in (("idle_s", table.idle_s), ("silent_s", table.silent_s)):
+        if not 0 < value < 1e6:
+            raise ConfigError(f"quic.{name} must be a number over 0")
+    boxes: dict[bytes, str] = {}
+    for uid, text in table.boxes.items():
+        octets = _octets(text, f"quic.boxes.{uid}")
+        if len(octets) != table.server_id_length:
+            raise ConfigError(f"quic.boxes.{uid} must have server_id_length octets")
+        if octets in boxes:
+            raise ConfigError(f"quic.boxes.{uid} has the id of {boxes[octets]}")
+        boxes[octets] = uid
+    return Quic(
+        listen=address(table.listen, "quic.listen"),
+        cls=cls,
+        deadline=timedelta(milliseconds=table.deadline_ms or settings.classes[cls].deadline_ms),
+        idle=timedelta(seconds=table.idle_s),
+        silent=timedelta(seconds=table.silent_s),
+        config_id=table.config_id,
+        server_id_length=table.server_id_length,
+        nonce_length=table.nonce_length,
+        key=key,
+        connections=table.connections,
+        boxes=boxes,
+    )
+
+
+def node(environment: Mapping[str, str], operators: str = "") -> Node:
+    """What the environment and the file that it names tell a node; or an operator's file, which is TOML."""
+    path, source = (operators, "--config") if operators else (environment.get("EDGE_CONFIG"), "EDGE_CONFIG")
     if not path:
-        raise ConfigError("EDGE_CONFIG is not set")
+        raise ConfigError("EDGE_CONFIG is not set, and there is no --config")
+    decode = msgspec.toml.decode if operators else msgspec.json.decode
     try:
-        file = msgspec.json.decode(Path(path).read_bytes(), type=NodeFile)
+        file = decode(Path(path).read_bytes(), type=NodeFile)
     except OSError as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
-    except msgspec.MsgspecError as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
+        raise ConfigError(f"{source}: {path}: {error.strerror}") from None
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{source}: {path}: {error}") from None
     try:
         seed = int(file.seed, 16)
     except ValueError:
         raise ConfigError(f"seed must be a hexadecimal number, not {file.seed!r}") from None
+    settings = settings_of(file.settings)
+    discovery = environment.get("EDGE_DISCOVERY") or file.discovery
+    if not discovery and not (operators and file.known):
+        raise ConfigError("discovery is not set, and an operator's file has no list in known")
     return Node(
         name=environment.get("EDGE_NAME") or file.name or "node",
         listen=address(environment.get("EDGE_LISTEN") or file.listen, "EDGE_LISTEN"),
-        discovery=address(environment.get("EDGE_DISCOVERY") or file.discovery, "EDGE_DISCOVERY"),
+        discovery=address(discovery, "EDGE_DISCOVERY") if discovery else None,
         seed=seed,
         sockets=file.limits.sockets,
         known=file.known or Members(0, True, []),
-        settings=settings_of(file.settings),
+        settings=settings,
+        quic=quic(file.quic, settings) if file.quic else None,
     )
--- a/puffindeck/core/deadlines.py
+++ b/puffindeck/core/deadlines.py
@@ -66,6 +66,14 @@
                 heapify(self._heap)
                 self._idle = 0
 
+    def clear(self) -> None:
+        """Forget them all: nothing is left to be done."""
+        self._heap.clear()
+        self._idle = 0
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _set(self) -> None:
         if not self._heap:
             return
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -81,8 +81,8 @@
     def fail(self) -> None:
         """The final answer: failed, and nothing is known of what was done."""
 
-    def move(self) -> None:
-        """Its connection stands; send it away politely and end the link."""
+    def move(self) -> bool:
+        """Its connection stands; send it away politely and end the link. False if this front can't."""
 
 
 class Request(NamedTuple):
@@ -165,17 +165,21 @@
         """News of the server list, or that it can't be had."""
         entries, now = list(entries), self.clock.now()
         fit = {e.server for e in entries if e.state == State.READY}
-        unfit = {e.server for e in entries if e.state != State.READY}
-        if kind in (ListKind.FULL, ListKind.CACHED):
-            unfit |= self._listed - fit
-            self._listed = set()
-        self._listed |= fit | unfit
-        for server in unfit:
+        draining = {e.server for e in entries if e.state == State.DRAINING}
+        gone = {e.server for e in entries if e.state == State.GONE}
+        if kind in (ListKind.FULL, ListKind.CACHED):  # who is not named is gone
+            gone |= self._listed - fit - draining
+        self._listed = (self._listed | fit | draining) - gone
+        for server in draining | gone:
             self._unfit.setdefault(server, now)
         for server in fit:
             self._unfit.pop(server, None)
         self.tell(Listed(kind, version, entries))
 
+    def known(self, server: int) -> bool:
+        """Does the list have it, be it that it drains?"""
+        return server in self._listed
+
     def may_reach(self, server: int) -> bool:
         """Rule 3 again, right before an attempt's first byte: its connect may have taken its time."""
         since = self._unfit.get(server)
@@ -347,8 +351,7 @@
 
     def _move(self, action: Move) -> None:
         held = self.held.get(action.request)
-        if held is not None and held.begun and held.out:
-            held.client.move()
+        if held is not None and held.begun and held.out and held.client.move():
             self.ended(Ticket(held.number, held.attempts - 1), Outcome.CANCELLED)
 
     def _wake(self, action: Wake) -> None:
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -219,15 +219,16 @@
             self._over = True
             self.transport.abortConnection()
 
-    def move(self) -> None:
+    def move(self) -> bool:
         """Send the client away between two lines."""
         if self._over or self._moving:
-            return
+            return True
         if self._line_open and self.link is not None and not self.link.done:
             self._moving = True
             self.deadlines.after(HALF_LINE, self._say_move)
         else:
             self._say_move()
+        return True
 
     def _say_move(self) -> None:
         if self._over:
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -4,13 +4,14 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import Factory
 from twisted.logger import Logger
 
 from puffindeck.choice import Balancer
 from puffindeck.config import Node as Told
+from puffindeck.config import Quic
 from puffindeck.core.clock import Clock, span
 from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.engine import Engine
@@ -19,6 +20,9 @@
 from puffindeck.net.directory import Directory
 from puffindeck.net.discovery import Watch
 
+if TYPE_CHECKING:
+    from puffindeck.quic.front import QuicFront
+
 log = Logger("puffindeck")
 
 BACKLOG = 1024  # a storm's connections, all within one turn of the reactor
@@ -54,14 +58,15 @@
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.connect_patience = span(settings.connect_timeout_ms)
         balancer = Balancer(settings, told.seed)
-        self.engine = Engine(balancer, settings, self.deadlines, lambda: self.watch.ask())
-        self.watch = Watch(
+        self.engine = Engine(balancer, settings, self.deadlines, self._follow)
+        self.watch = told.discovery and Watch(
             reactor, told.discovery, self.deadlines, self.directory, self.engine, told.known.rev, self._ready
         )
         self.clients: set[ClientLine] = set()
         self.ready = self.stopping = False
         self._waiting: list[Callable[[], None]] = []
         self.port: Any = None
+        self.quic: QuicFront | None = None
 
     def start(self) -> None:
         """Listen, and ask for the list; readiness comes with the first answer, be it that there is none."""
@@ -69,9 +74,29 @@
         self.port = self.reactor.listenTCP(port, ClientFactory(self), backlog=BACKLOG, interface=host)
         known = self.told.known
         self.engine.listed(ListKind.CACHED, known.rev, self.directory.entries(known))
+        if self.told.quic is not None:
+            self._start_quic(self.told.quic)
+        if self.watch is None:
+            self._ready()
         self.deadlines.after(SWEEP, self._sweep)
         log.info("node {name}: listening on {host}:{port}", name=self.told.name, host=host, port=port)
 
+    def _start_quic(self, told: Quic) -> None:
+        from puffindeck.quic.front import (
+            QuicFront,  # its libraries stay out of a node that has no use for them
+        )
+
+        self.quic = QuicFront(
+            self.reactor, told, self.engine, self.deadlines, self.directory, lambda: self.stopping
+        )
+        host, port = told.listen
+        self.quic_port = self.reactor.listenUDP(port, self.quic, interface=host, maxPacketSize=65535)
+        log.info("node {name}: QUIC on {host}:{port}", name=self.told.name, host=host, port=port)
+
+    def _follow(self) -> None:
+        if self.watch is not None:
+            self.watch.ask()
+
     def _ready(self) -> None:
         if not self.ready:
             self.ready = True
@@ -131,8 +156,13 @@
                 if self.deadlines.clock.now() >= self._stop_at - STOP + SEND_AWAY:
                     self.engine.send_away(number)
         if not self.clients or late:
-            self.watch.stop()
+            if self.watch is not None:
+                self.watch.stop()
             log.info("node {name}: stopped", name=self.told.name)
-            self.deadlines.after(span(300 if self.clients else 0), self.reactor.stop)
+            self.deadlines.after(span(300 if self.clients else 0), self._end)
         else:
             self.deadlines.after(span(50), self._stopped)
+
+    def _end(self) -> None:
+        self.deadlines.clear()
+        self.reactor.stop()
--- /dev/null
+++ b/puffindeck/quic/__init__.py
@@ -0,0 +1,1 @@
+"""The QUIC front: datagrams passed on undecrypted, by connection id."""
--- /dev/null
+++ b/tests/stories.py
@@ -0,0 +1,198 @@
+"""Scripted peers on loopback: clients, hosts and discovery, each driven line by line by a story."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import Deferred, DeferredQueue, maybeDeferred
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from twisted.trial.unittest import TestCase
+
+from puffindeck.config import Members, Node, Target
+from puffindeck.core.clock import Clock
+from puffindeck.interface import ClassSettings, Event, Settings
+from puffindeck.net.node import Node as NetNode
+from tests.world import SETTINGS as WORLD
+
+reactor: Any = default_reactor
+SETTINGS: Settings = replace(
+    WORLD, classes=(ClassSettings(300, 1200, message_aim_ms=60, name="chat"),), must_ask=True,
+    can_cancel=True, max_attempts=3, max_wait_ms=1500, connect_timeout_ms=250, zones=("a",), kinds=("m",),
+)
+
+
+def deferred(why: str) -> Deferred[Any]:
+    """Something to happen within 5 s; a story that waits in vain fails with the reason."""
+    waited: Deferred[Any] = Deferred()
+    waited.addTimeout(5, reactor, onTimeoutCancel=lambda _, __: (_ for _ in ()).throw(AssertionError(why)))
+    return waited
+
+
+class Peer(Protocol):
+    """One connection's end: what came is taken line by line, and what ended it is kept."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.buffer = b""
+        self.end: Any = None
+        self._lines: DeferredQueue[bytes] = DeferredQueue()
+        self._ended: list[Deferred[Any]] = []
+        self.made: Callable[[Peer], None] = lambda peer: None
+
+    def connectionMade(self) -> None:
+        self.made(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        *lines, self.buffer = (self.buffer + data).split(b"\r\n")
+        for line in lines:
+            self._lines.put(line)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.end = reason.type.__name__
+        for waiting in self._ended:
+            waiting.callback(self.end)
+
+    def line(self) -> Deferred[bytes]:
+        return self._lines.get().addTimeout(5, reactor)
+
+    def ended(self) -> Deferred[Any]:
+        waiting = deferred("the connection did not end")
+        if self.end is not None:
+            waiting.callback(self.end)
+        else:
+            self._ended.append(waiting)
+        return waiting
+
+    def write(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+class Listener(Factory):
+    """A host or discovery: its connections come out of a queue as they are accepted."""
+
+    noisy = False
+
+    def __init__(self) -> None:
+        self.accepted: DeferredQueue[Peer] = DeferredQueue()
+        self.peers: list[Peer] = []
+        self.port = reactor.listenTCP(0, self, interface="127.0.0.1")
+        self.address = f"127.0.0.1:{self.port.getHost().port}"
+
+    def buildProtocol(self, addr: object) -> Peer:
+        peer = Peer()
+        peer.made = self.made
+        return peer
+
+    def made(self, peer: Peer) -> None:
+        self.peers.append(peer)
+        self.accepted.put(peer)
+
+    def next(self) -> Deferred[Peer]:
+        return self.accepted.get().addTimeout(5, reactor)
+
+
+class Dial(ClientFactory):
+    """A client's way in."""
+
+    noisy = False
+
+    def __init__(self) -> None:
+        self.peer = Peer()
+        self.up = deferred("no connection")
+
+    def buildProtocol(self, addr: object) -> Peer:
+        reactor.callLater(0, self.up.callback, self.peer)
+        return self.peer
+
+
+class Story(TestCase):
+    """A node with hosts and discovery round it, all closed at the end."""
+
+    def build(self, hosts: int = 2, **settings: Any) -> None:
+        self.hosts = {f"h{i}": Listener() for i in range(hosts)}
+        self.discovery = Listener()
+        self.told: list[Event] = []
+        known = Members(1, True, [self.target(uid) for uid in self.hosts])
+        host, port = self.discovery.address.split(":")
+        told = Node("n0", ("127.0.0.1", 0), (host, int(port)), 7, 1024, known, replace(SETTINGS, **settings))
+        self.node = NetNode(reactor, told, Clock())
+        decide = self.node.engine.balancer.handle
+
+        def spy(now: float, events: Any) -> Any:
+            events = list(events)
+            self.told += events
+            return decide(now, events)
+
+        self.patch(self.node.engine.balancer, "handle", spy)
+        self.node.start()
+        self.addCleanup(self.close)
+
+    def target(self, uid: str, state: str = "SERVING") -> Target:
+        return Target(uid, state, self.hosts[uid].address, "a", "m")
+
+    async def close(self) -> None:
+        if self.node.watch:
+            self.node.watch.stop()
+        peers = [p for listener in (*self.hosts.values(), self.discovery) for p in listener.peers]
+        for transport in [p.transport for p in peers] + [c.transport for c in self.node.clients]:
+            transport.abortConnection()
+        for port in [listener.port for listener in (*self.hosts.values(), self.discovery)] + [self.node.port]:
+            await maybeDeferred(port.stopListening)
+        await self.until(lambda: not self.node.clients and all(p.end for p in peers), "all to close")
+        self.node.deadlines.clear()
+
+    async def until(self, met: Callable[[], Any], what: str) -> None:
+        """Wait for something that no peer's line tells."""
+        for _ in range(500):
+            if met():
+                return
+            waiting: Deferred[None] = Deferred()
+            reactor.callLater(0.01, waiting.callback, None)
+            await waiting
+        raise AssertionError(f"waited in vain for {what}")
+
+    async def client(self, line: str = "", port: int = 0) -> Peer:
+        dial = Dial()
+        reactor.connectTCP("127.0.0.1", port or self.node.port.getHost().port, dial)
+        peer: Peer = await dial.up
+        self.addCleanup(peer.transport.abortConnection)
+        if line:
+            peer.write(line.encode() + b"\r\n")
+        return peer
+
+    async def host_of(self, *but: str) -> tuple[str, Peer]:
+        """The host that a client has been sent to."""
+        await self.until(lambda: any(h.accepted.pending for u, h in self.hosts.items() if u not in but),
+                         "a host to be reached")
+        uid = next(u for u, h in self.hosts.items() if u not in but and h.accepted.pending)
+        return uid, await self.hosts[uid].next()
+
+    async def served(self, line: str) -> tuple[Peer, str, Peer]:
+        """A client, its host's name, and its host, with the connection up."""
+        client = await self.client(line)
+        uid, host = await self.host_of()
+        await host.line()
+        host.write(b"UP r1\r\n")
+        self.assertEqual(await client.line(), b"UP r1")
+        return client, uid, host
+
+    async def watched(self) -> Peer:
+        """The node's watch, answered."""
+        watch = await self.discovery.next()
+        request = await watch.line()
+        assert request.startswith(b"GET /catalog/members?watch=1&after="), request
+        watch.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        return watch
+
+    def news(self, watch: Peer, version: int, full: bool, *targets: Target) -> None:
+        rows = [{f: getattr(t, f) for f in t.__struct_fields__} for t in targets]
+        body = json.dumps({"rev": version, "all": full, "targets": rows}).encode() + b"\n"
+        watch.write(b"%x\r\n%s\r\n" % (len(body), body))
+
+    def ends(self, kind: type[Any]) -> list[Any]:
+        return [event for event in self.told if isinstance(event, kind)]
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,234 @@
+"""The platform's node over loopback: a story for each failure met and each rule that sockets can break."""
+
+from __future__ import annotations
+
+from unittest.mock import patch
+
+from puffindeck.core.clock import ms, span
+from puffindeck.core.engine import Ticket
+from puffindeck.interface import Ended, Listed, ListKind, Opened, Outcome
+from puffindeck.net import discovery, node
+from puffindeck.net.heads import Head, HeadError
+from tests.stories import Story
+
+ASK = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=1100,g=5c0f6e1a2b3d4c59"
+
+
+class ServingStories(Story):
+    """Clients that are served."""
+
+    async def test_bytes_pass_unchanged_and_only_d_is_new(self) -> None:
+        self.build()
+        client = await self.client()
+        for piece in (b"OPEN 9b1f 7f3a c=ch", b"at,d=1100,again=1,z=9\r", b"\nearly\r\n"):
+            client.write(piece)
+        _, host = await self.host_of()
+        head = (await host.line()).decode()
+        self.assertRegex(head, r"^OPEN 9b1f 7f3a c=chat,d=\d+,again=1,z=9$")
+        self.assertLessEqual(int(head.split("d=")[1].split(",")[0]), 1100)
+        host.write(b"UP r\r\nhalf ")
+        self.assertEqual(await client.line(), b"UP r")
+        self.assertEqual(await host.line(), b"early")
+        host.write(b"a line\r\n")
+        self.assertEqual(await client.line(), b"half a line")
+        client.write(b"\x00\xff" * 40000 + b"\r\n")
+        self.assertEqual(len(await host.line()), 80000)
+        host.write(b"BYE\r\n")
+        host.transport.loseConnection()
+        self.assertEqual(await client.line(), b"BYE")
+        self.assertEqual(await client.ended(), "ConnectionDone")
+        self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.OK)
+
+    async def test_a_connection_from_before_the_run_goes_to_its_host_with_any_time(self) -> None:
+        # the first day lost all of these: their d is 4294967
+        self.build()
+        client = await self.client(f"{ASK},at=h1".replace("d=1100", "d=4294967"))
+        host = await self.hosts["h1"].next()
+        await host.line()
+        host.transport.abortConnection()  # it is tried again: nobody else has it
+        host = await self.hosts["h1"].next()
+        await host.line()
+        host.write(b"UP r\r\n")
+        self.assertEqual(await client.line(), b"UP r")
+        self.assertEqual([e.server for e in self.ends(Opened)], [self.node.directory.number("h1")])
+        host.transport.abortConnection()
+        self.assertEqual(await client.ended(), "ConnectionLost")
+        self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.RESET])
+
+    async def test_pong_comes_only_once_ready_and_not_while_stopping(self) -> None:
+        self.build()
+        client = await self.client("PING")
+        watch = await self.watched()
+        self.assertFalse(self.node.ready)
+        self.news(watch, 2, False)
+        self.assertEqual(await client.line(), b"PONG")
+        self.assertEqual(self.node.port.getHost().host, "127.0.0.1")
+
+    async def test_a_silent_hosts_client_is_moved(self) -> None:
+        with patch.object(node, "SILENT", span(100)):
+            self.build()
+            client, _, host = await self.served(ASK)
+            client.write(b"M 1\r\n")
+            self.assertEqual(await host.line(), b"M 1")
+            self.assertEqual(await client.line(), b"MOVE")
+            self.assertEqual(await client.ended(), "ConnectionDone")
+            self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.RESET)
+
+    async def test_stopping_moves_all_between_whole_lines_and_answers_the_rest(self) -> None:
+        self.build()
+        client, _, host = await self.served(ASK)
+        host.write(b"half a ")
+        await self.until(lambda: client.buffer, "the half line")
+        with patch.object(self.node, "reactor") as stopped:
+            self.node.stop()
+            late = await self.client(ASK)
+            self.assertRegex(await late.line(), rb"^BUSY \d+$")
+            host.write(b"line\r\nand more\r\n")
+            self.assertEqual([await client.line(), await client.line()], [b"half a line", b"MOVE"])
+            self.assertEqual(await host.ended(), "ConnectionDone")
+            await self.until(lambda: stopped.stop.called, "its end")
+
+
+class FailureStories(Story):
+    """What goes wrong, and what the module hears of it."""
+
+    async def test_each_outcome_of_the_table(self) -> None:
+        self.build(hosts=1, max_attempts=1)
+        self.node.connect_patience = span(200)
+        for said, outcome in ((b"ERR\r\n", Outcome.ERROR), (b"BUSY\r\n", Outcome.FULL),
+                              (b"nonsense\r\n", Outcome.ERROR), (b"x" * 5000, Outcome.ERROR),
+                              (b"MOVE\r\n", Outcome.CANCELLED), (b"", Outcome.RESET)):
+            client = await self.client(ASK)
+            _, host = await self.host_of()
+            await host.line()
+            host.write(said)
+            if not said:
+                host.transport.abortConnection()
+            self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+            self.assertEqual(self.ends(Ended)[-1].outcome, outcome)
+            server = self.node.engine.balancer.servers[self.node.directory.number("h0")]
+            server.suspect_until, server.ceiling = 0.0, float("inf")  # each as if it were the first
+        await self.hosts["h0"].port.stopListening()
+        client = await self.client(ASK)
+        self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+        self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.CONNECT_FAILED)
+
+    async def test_a_host_that_is_down_costs_the_client_nothing(self) -> None:
+        self.build()
+        await self.hosts["h0"].port.stopListening()
+        for i in range(6):
+            client = await self.client(ASK.replace("g=5", f"g={i}"))
+            host = await self.hosts["h1"].next()
+            await host.line()
+            host.write(b"UP r\r\n")
+            self.assertEqual(await client.line(), b"UP r")
+        self.assertIn(Outcome.CONNECT_FAILED, [e.outcome for e in self.ends(Ended)])
+
+    async def test_a_host_that_says_nothing_is_given_up_and_the_client_answered_in_time(self) -> None:
+        self.build(hosts=1)
+        start = self.node.deadlines.clock.now()
+        client = await self.client(ASK.replace("1100", "400"))
+        _, host = await self.host_of()
+        await host.line()
+        self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+        self.assertLess(ms(self.node.deadlines.clock.now() - start), 400 + 70)
+        self.assertEqual(await host.ended(), "ConnectionDone")
+        self.assertEqual(len(self.node.engine.held), 0)
+
+    async def test_a_client_that_leaves_takes_its_attempt_along(self) -> None:
+        self.build()
+        client = await self.client(ASK)
+        _, host = await self.host_of()
+        client.transport.abortConnection()
+        await host.ended()
+        self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.CANCELLED)
+        self.assertEqual(len(self.node.engine.held), 0)
+
+    async def test_lines_that_cant_be_read_get_a_plain_failure(self) -> None:
+        self.build()
+        for line in ("OPEN", "OPEN 1 2 c=chat", "OPEN 1 2 c=none,d=5", "OPEN 1 2 c=chat,d=nan", "x" * 5000,
+                     "OPEN 1 2 c=chat,d=5,d=6", "OPEN 1 2 c=chat,d=-5", "OPEN 1 2 c=chat,d=5,\x01=2", "HI"):
+            client = await self.client(line)
+            self.assertEqual(await client.line(), b"ERR")
+            await client.ended()
+        await self.served(ASK)
+
+    async def test_descriptors_running_out_is_no_crash(self) -> None:
+        self.build()
+        client = await self.client()
+        with patch("twisted.internet.tcp.Client.createInternetSocket", side_effect=OSError(24, "none left")):
+            client.write(ASK.encode() + b"\r\n")
+            self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+        await self.served(ASK)
+        with patch.object(node, "SPARE", 1024):  # no room for a client and its host
+            other = await self.client(ASK)
+            self.assertRegex(await other.line(), rb"^BUSY \d+$")
+
+
+class ListStories(Story):
+    """Discovery, well and ill."""
+
+    async def test_news_counts_at_once_and_a_drain_keeps_what_it_has(self) -> None:
+        self.build()
+        watch = await self.watched()
+        client, uid, host = await self.served(ASK)
+        self.news(watch, 2, False, self.target(uid, "DRAINING"))
+        await self.until(lambda: self.ends(Listed)[-1].version == 2, "the news")
+        for _ in range(4):
+            other = await self.client(ASK)
+            reached, peer = await self.host_of()
+            self.assertNotEqual(reached, uid)
+            peer.write(b"ERR\r\n")
+            other.transport.abortConnection()
+        client.write(b"still here\r\n")
+        self.assertEqual(await host.line(), b"still here")
+
+    async def test_nothing_reaches_a_host_half_a_second_after_its_drain_is_told(self) -> None:
+        # a connect may have been on its way all that time: it is asked again before the first byte
+        self.build(hosts=1, drain_grace_ms=0)
+        with patch.object(self.node.engine, "may_reach", side_effect=self.node.engine.may_reach) as asked:
+            with patch.object(self.node.engine, "_unfit", {self.node.directory.number("h0"): span(0)}):
+                await self.client(ASK)
+                _, host = await self.host_of()
+                await host.ended()
+                self.assertEqual(host.buffer, b"")
+            self.assertTrue(asked.called)
+        self.assertEqual(self.ends(Ended)[0].outcome, Outcome.CONNECT_FAILED)
+
+    async def test_a_watch_that_breaks_or_falls_silent_or_talks_nonsense_is_asked_for_again(self) -> None:
+        with patch.object(discovery, "SILENT", span(100)):
+            self.build()
+            self.node.engine.balancer.random.seed(1)
+            watch = await self.discovery.next()
+            watch.write(b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
+            await self.until(lambda: self.ends(Listed)[-1].kind == ListKind.FAILED, "its failure")
+            for ill in (b"", b"3\r\n{]\n\r\n"):
+                watch = await self.watched()
+                self.news(watch, 5, True, *(self.target(uid) for uid in self.hosts))
+                await self.until(lambda: self.ends(Listed)[-1].kind == ListKind.FULL, "the list")
+                watch.write(ill)
+                await self.until(lambda: self.ends(Listed)[-1].kind == ListKind.FAILED, "its failure")
+            again = await self.discovery.next()
+            self.assertIn(b"after=5", await again.line())
+
+
+class PartStories(Story):
+    """Parts that need no peers."""
+
+    def test_a_late_callback_finds_no_one_in_a_slot_given_away_again(self) -> None:
+        self.build()
+        slots = self.node.engine.held
+        first = slots.add(object())  # type: ignore[arg-type]
+        slots.drop(first)
+        second = slots.add(object())  # type: ignore[arg-type]
+        self.assertNotEqual(first, second)
+        self.assertIsNone(slots.get(first))
+        self.node.engine.ended(Ticket(first, 0), Outcome.OK)
+        self.assertEqual(self.ends(Ended), [])
+        slots.drop(second)
+
+    def test_a_head_is_read_in_place(self) -> None:
+        head = Head(b"OPEN 1 zz,z c=chat,d=20.5,x=d=3")
+        self.assertEqual(b"".join(head.parts(span(7.9))), b"OPEN 1 zz,z c=chat,d=7,x=d=3\r\n")
+        with self.assertRaises(HeadError):
+            Head(b"OPEN 1 2 c=chat")
