--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -63,6 +63,10 @@
         """No process has the box's port."""
         self.link.refused()
 
+    def stopProtocol(self) -> None:
+        """The reactor closes a socket with an error on it, an ICMP refusal say, and tells nothing more."""
+        self.link.refused()
+
 
 class BoxLink:
     """A flow's way to a box: an attempt first, then what its datagrams pass over."""
@@ -178,8 +182,8 @@
         if self.first is None or (packet.to != self.first.to and self.up):
             self.proven = self.proven or self._went > 0  # it uses an id that only what was sent there names
         link = self.link
-        if not self.up:
-            if len(self._kept) < FIRST_FLIGHT and self.first is not None:
+        if not self.up and self.first is not None:
+            if len(self._kept) < FIRST_FLIGHT:
                 self._kept.append(datagram)
             if link is not None and not self.front.engine.may_reach(link.server):
                 link.finish(Outcome.RESET)  # its drain is older than the grace: nothing more begins there
