Read hosts' LOAD lines as a message's delay where the settings tell of delays

Cause: net/host.py took `LOAD X` for a connection's load (LoadTold) whatever the settings say. Taken for a load, 25 to 648 a connection, it drowned the ledger: a server's load of 10.5 became 264, then 3050, the mean with it, and no ceiling was ever cut.

engine.noted now tells LoadTold or DelayTold as the settings say; LOAD is read line by line, over odd chunks.

--- a/puffindeck/config.py
+++ b/puffindeck/config.py
@@ -65,6 +65,13 @@
     )
 
 
+def _bound(table: Any) -> float:
+    bound = _number(table, "bound", default=0.0)
+    if bound and bound <= 1:
+        raise ConfigError("settings: bound must be over 1, or 0 for the module's own")
+    return bound
+
+
 def settings_of(table: Any) -> Settings:
     """The settings, as the simulator's first message and a node's file have them."""
     family = (table.get("familyInfo") or {}) if isinstance(table, dict) else {}
@@ -92,6 +99,9 @@
         tenant_connections=tuple(
             float("inf") if q is None else float(q) for q in family.get("tenantQuotaConnections") or []
         ),
+        tells_load=bool(family.get("tellsLoad", False)),
+        tells_delay=bool(family.get("tellsDelay", False)),
+        bound=_bound(table),
         max_wait_ms=(
             _number(table, "limits.maxRetryAfterMs", default=0.0) if limits.get("retryAfter") else 0.0
         ),
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -49,7 +49,6 @@
 
 LATE = span(15)  # how long after its deadline a request that the module has not answered is failed
 DRAIN_MARGIN = span(100)  # how long before the end of a drain's grace nothing more is begun
-TELL_DELAY = span(1000)  # how often a server's message delay is told while it is high
 
 
 class Ticket(NamedTuple):
@@ -127,9 +126,6 @@
         self._unfit: dict[int, timedelta] = {}  # servers that drain or are gone, and since when that is known
         self._listed: set[int] = set()
         self._grace = max(ZERO, span(settings.drain_grace_ms) - DRAIN_MARGIN)
-        aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0]
-        self._worth_telling = span(min(aims, default=100.0) / 3)
-        self._told: dict[int, tuple[timedelta, bool]] = {}  # by server: when its delay was told, and if high
         self._do: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Move: self._move,
             Wake: self._wake, Follow: lambda action: self.follow(), Log: self._log,
@@ -255,22 +251,15 @@
         self._settle(held)
         self.tell(Ended(ticket.request, outcome, held.server, ticket.attempt, held.answered, took))
 
-    def load(self, ticket: Ticket, load: float) -> None:
-        """A connection's load, as its server tells it."""
-        held = self._current(ticket)
-        if held is not None:
-            self.tell(LoadTold(ticket.request, held.server, load))
-
-    def delay(self, ticket: Ticket, delay: timedelta) -> None:
-        """How long a message took on a connection: told each second while high, and once it no longer is."""
+    def noted(self, ticket: Ticket, figure: float) -> None:
+        """What a server tells of an open connection: the settings say whether load or a message's delay."""
         held = self._current(ticket)
         if held is None:
             return
-        now, high = self.clock.now(), delay > self._worth_telling
-        last, was_high = self._told.get(held.server, (ZERO, False))
-        if (high and now - last >= TELL_DELAY) or (was_high and not high):
-            self._told[held.server] = now, high
-            self.tell(DelayTold(ticket.request, held.server, ms(delay)))
+        if self.settings.tells_load:
+            self.tell(LoadTold(ticket.request, held.server, figure))
+        elif self.settings.tells_delay:
+            self.tell(DelayTold(ticket.request, held.server, figure))
 
     # The module's actions
 
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -96,6 +96,9 @@
     cross_zone_price: float = 0.0
     over_share_worth: float = 1.0
     tenant_connections: tuple[float, ...] = ()  # open connections within share, all gateways together
+    tells_load: bool = False  # servers tell a connection's load, or how long a message takes there now
+    tells_delay: bool = False
+    bound: float = 0.0  # c of the design, where an operator sets it; 0: the module's own
     max_wait_ms: float = 0.0  # the longest wait that a refused client follows; 0: it is told none
     zones: tuple[str, ...] = ()  # the names behind the numbers of zones, and of kinds of machine
     kinds: tuple[str, ...] = ()
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -22,7 +22,7 @@
 log = Logger("puffindeck")
 
 LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
-TAIL = 16  # bytes kept of what a host sent last: its last line tells how it ended
+SHORT = 64  # bytes kept of a line that a host has not ended yet
 ENDS = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
 ANSWERS = {**ENDS, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL, b"SYNTAX": Outcome.ERROR}
 
@@ -114,14 +114,11 @@
         self.line: HostLine | None = None
         self._connector: Any = None
         self._patience: Deadline | None = None
-        self._tail = b""
-        self._began = ZERO
-        self.rtt = ZERO  # what the way there and back takes, as its connect told
+        self._rest = self._last = b""  # what a host sent of a line, and its last whole one
         self.asked: timedelta | None = None  # since when a client's line is without an answer
 
     def connect(self, reactor: Any, address: tuple[str, int], patience: timedelta) -> None:
         """Try to reach the host. Only the deadlines' one timer runs on it, not one of the reactor's own."""
-        self._began = self.deadlines.clock.now()
         self._patience = self.deadlines.after(patience, self._unreachable)
         try:
             self._connector = reactor.connectTCP(*address, self, timeout=None)
@@ -144,7 +141,6 @@
         if self.done:
             line.transport.abortConnection()
             return
-        self.rtt = self.deadlines.clock.now() - self._began
         if not self.engine.may_reach(self.server):
             log.info("host {host}: drains since the connect began: not sent", host=self.host)
             self.finish(Outcome.CONNECT_FAILED)
@@ -165,7 +161,6 @@
                 return
             self.up = self.written = True
             self.line.transport.unregisterProducer()
-            self._tail = CRLF
             self.line.setRawMode()
             self.client.ready_for(self)
             return
@@ -178,24 +173,25 @@
         """What an open connection's host sends."""
         if self.done:
             return
-        now = self.deadlines.clock.now()
-        if self.asked is not None:
-            asked, self.asked = self.asked, None
-            self.engine.delay(self.ticket, max(ZERO, now - asked - self.rtt))
-            if self.done:  # the module has moved the client on that
-                return
-        if b"LOAD " in data:
-            self._loads(data)
-        self._tail = (self._tail + data)[-TAIL:]
+        self.asked = None
         self.client.from_host(data)
-
-    def _loads(self, data: bytes) -> None:
-        for line in data.split(CRLF):
+        *lines, rest = (self._rest + data).split(CRLF)
+        for line in lines:
+            self._last = line
             if line.startswith(b"LOAD "):
-                try:
-                    self.engine.load(self.ticket, float(line[5:]))
-                except ValueError:
-                    log.warn("host {host}: no load: {line!r}", host=self.host, line=line[:80])
+                self._noted(line)
+        # of a long line its start will do, but not without a CR whose LF is yet to come
+        self._rest = rest if len(rest) <= SHORT else rest[:SHORT] + rest[-1:]
+
+    def _noted(self, line: bytes) -> None:
+        try:
+            figure = float(line[5:])
+            if not 0 <= figure < float("inf"):
+                raise ValueError
+        except ValueError:
+            log.warn("host {host}: no figure: {line!r}", host=self.host, line=line[:80])
+            return
+        self.engine.noted(self.ticket, figure)
 
     def send(self, data: bytes) -> None:
         """What the client sends on an open connection."""
@@ -220,8 +216,7 @@
             self.client.link_ended(self, Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
             return
         clean = line is not None and reason.check("twisted.internet.error.ConnectionDone") is not None
-        last = self._tail.split(CRLF)
-        outcome = ENDS.get(last[-2]) if len(last) > 2 and not last[-1] else None
+        outcome = ENDS.get(self._last) if not self._rest else None
         self.client.host_ended(clean)
         self.client.link_ended(self, outcome or Outcome.RESET)
 
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -21,7 +21,8 @@
 reactor: Any = default_reactor
 SETTINGS: Settings = replace(
     WORLD, classes=(ClassSettings(300, 1200, message_aim_ms=60, name="chat"),), must_ask=True,
-    can_cancel=True, max_attempts=3, max_wait_ms=1500, connect_timeout_ms=250, zones=("a",), kinds=("m",),
+    can_cancel=True, max_attempts=3, max_wait_ms=1500, connect_timeout_ms=250, zones=("a",),
+    tells_delay=True, kinds=("m",),
 )
 
 
@@ -57,6 +58,10 @@
         for waiting in self._ended:
             waiting.callback(self.end)
 
+    def left(self, text: bytes) -> bool:
+        """Is this what came after the last whole line?"""
+        return self.buffer == text
+
     def line(self) -> Deferred[bytes]:
         return self._lines.get().addTimeout(5, reactor)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 from unittest.mock import patch
 
 from puffindeck.core.clock import ms, span
 from puffindeck.core.engine import Ticket
-from puffindeck.interface import Ended, Listed, ListKind, Opened, Outcome
+from puffindeck.interface import DelayTold, Ended, Listed, ListKind, Opened, Outcome
 from puffindeck.net import discovery, node
 from puffindeck.net.heads import Head, HeadError
 from tests.stories import Story
@@ -33,9 +34,12 @@
         self.assertEqual(await client.line(), b"half a line")
         client.write(b"\x00\xff" * 40000 + b"\r\n")
         self.assertEqual(len(await host.line()), 80000)
-        host.write(b"BYE\r\n")
+        for piece in (b"LO", b"AD 7.5\r\nno LOAD 9\r\n" + b"x" * 100 + b"\r", b"\nLOAD x\r\nBYE\r", b"\n"):
+            host.write(piece)  # what a host tells is passed on too; here its figure is a message's delay
+            await self.until(partial(client.left, piece.rsplit(b"\n", 1)[-1]), "the piece")
         host.transport.loseConnection()
-        self.assertEqual(await client.line(), b"BYE")
+        self.assertEqual([await client.line() for _ in range(5)][::2], [b"LOAD 7.5", b"x" * 100, b"BYE"])
+        self.assertEqual([e.delay_ms for e in self.ends(DelayTold)], [7.5])
         self.assertEqual(await client.ended(), "ConnectionDone")
         self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.OK)
 
