--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -111,7 +111,7 @@
     """One gateway's decisions. `handle` is given all that has happened at one moment."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+        self.settings, self.bound = settings, settings.bound or BOUND
         self.random = Random(seed)
         self.now = 0.0
         self.actions: list[Action] = []
@@ -383,7 +383,7 @@
             # A strained fleet must not spread each group over all servers, which would all pay for it:
             # a group's load has its place within reach or, for now, none.
             reach = WALK if not request.group else 2 + int(share * len(self.ready) * size / (
-                BOUND * max(1e-9, self.zone_sizes[None])))
+                self.bound * max(1e-9, self.zone_sizes[None])))
             near = self._clockwise(request, zone, skip | request.tried, reach)
             near = near or self._clockwise(request, zone, skip, reach)
             passes.append((near, (load + request.load) / max(1e-9, size), max(1e-9, size)))
@@ -398,7 +398,8 @@
                     # With many gateways each holds too few connections for their count to reach the bound,
                     # and all would fill a busy group's home together: there a server takes no more than
                     # its bounded part of the key's expected share, by a lot; the rest spills onward.
-                    part, bound = BOUND * stretch * server.size / size, BOUND * mean * server.size
+                    part = self.bound * stretch * server.size / size
+                    bound = self.bound * mean * server.size
                     if bound < floor and rest * lot(request.lot, server.id) > part:
                         rest -= part
                     elif server.id in fit and server.load < stretch * max(bound, floor):
--- /dev/null
+++ b/puffindeck/importer/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of other balancers, read into an operator's file."""
--- /dev/null
+++ b/puffindeck/importer/haproxy.py
@@ -0,0 +1,295 @@
+"""HAProxy's configuration format, as far as it says what this program needs to know."""
+
+from __future__ import annotations
+
+import re
+import shlex
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+from typing import Any
+
+SECTIONS = ("global", "defaults", "frontend", "backend", "listen")
+OTHERS = ("userlist", "peers", "resolvers", "cache", "mailers", "program", "ring", "http-errors")
+UNITS = {"us": 0.001, "ms": 1.0, "s": 1000.0, "m": 60000.0, "h": 3_600_000.0, "d": 86_400_000.0, "": 1.0}
+MODES = ("tcp", "http")
+HASHED = ("source", "uri", "url_param", "hdr", "hash", "rdp-cookie")  # kinds of `balance` that place by a key
+# what a server line may say that needs nothing carried over: how it is checked is discovery's affair here
+CHECKS = {"check": 0, "inter": 1, "fastinter": 1, "downinter": 1, "rise": 1, "fall": 1, "port": 1, "addr": 1,
+          "id": 1, "no-check": 0, "enabled": 0}
+# how many words must follow
+LEAST = {"server": 2, "timeout": 2, "retries": 1, "hash-type": 1, "hash-balance-factor": 1, "balance": 1,
+         "bind": 1}
+
+
+class ImportError_(Exception):
+    """The input can't be read; the text names file and line."""
+
+
+@dataclass(slots=True)
+class Line:
+    """A statement and where it stands."""
+
+    at: str
+    words: list[str]
+
+    def bad(self, why: str) -> ImportError_:
+        return ImportError_(f"{self.at}: {why}")
+
+
+@dataclass(slots=True)
+class Section:
+    """A section with what it takes from its defaults."""
+
+    kind: str
+    name: str
+    at: str
+    lines: list[Line] = field(default_factory=list)
+    base: Section | None = None
+
+    def all(self) -> list[Line]:
+        """Its lines after those of its defaults, so that the last word on a thing is its own."""
+        return (self.base.all() if self.base else []) + self.lines
+
+
+def statements(file: str, text: str) -> list[Line]:
+    """The lines that say something, as words."""
+    found = []
+    for i, line in enumerate(text.splitlines(), 1):
+        at = f"{file}:{i}"
+        try:
+            words = shlex.split(line, comments=True)
+        except ValueError as error:
+            raise ImportError_(f"{at}: {error}") from None
+        if words:
+            found.append(Line(at, words))
+    return found
+
+
+def sections(file: str, text: str, notes: list[str]) -> list[Section]:
+    """The sections in their order, each with the defaults that hold for it."""
+    found: list[Section] = []
+    defaults: dict[str, Section] = {}
+    last: Section | None = None
+    current: Section | None = None
+    skipped = False
+    for line in statements(file, text):
+        word, *rest = line.words
+        if word in SECTIONS:
+            name = rest[0] if rest else ""
+            if not name and word in ("frontend", "backend", "listen"):
+                raise line.bad(f"{word} has no name")
+            if any(s.kind == word and s.name == name for s in found) and word != "defaults" and name:
+                raise line.bad(f"{word} {name} stands twice")
+            base = last if word in ("frontend", "backend", "listen") else None
+            if "from" in rest[1:]:
+                wanted = rest[rest.index("from") + 1 : rest.index("from") + 2]
+                if not wanted or wanted[0] not in defaults:
+                    raise line.bad("from names no defaults that stand before it")
+                base = defaults[wanted[0]]
+            current, skipped = Section(word, name, line.at, base=base), False
+            found.append(current)
+            if word == "defaults":
+                last = current
+                if name:
+                    defaults[name] = current
+        elif word in OTHERS:
+            notes.append(f"{line.at}: section {word}: not carried over")
+            current, skipped = None, True
+        elif current is not None:
+            current.lines.append(line)
+        elif not skipped:
+            raise line.bad(f"{word!r} stands in no section that is known")
+    return found
+
+
+def milliseconds(line: Line, text: str) -> float:
+    """A time as HAProxy writes it: a whole number, and a unit or none for milliseconds."""
+    match = re.fullmatch(r"(\d+)(us|ms|s|m|h|d|)", text)
+    if not match:
+        raise line.bad(f"{text!r} is no time")
+    return int(match[1]) * UNITS[match[2]]
+
+
+def whole(line: Line, text: str, low: int, high: int) -> int:
+    if not text.isdecimal() or not low <= int(text) <= high:
+        raise line.bad(f"{text!r} is no whole number from {low} to {high}")
+    return int(text)
+
+
+def endpoint(line: Line, text: str) -> str | None:
+    """ADDRESS:PORT as an operator's file has it, or None for one that it can't have."""
+    host, _, port = re.sub(r"^(ipv4|ipv6|inet)@", "", text).rpartition(":")
+    host = host.removeprefix("[").removesuffix("]") or "0.0.0.0"
+    host = "0.0.0.0" if host == "*" else host
+    try:
+        wide = ip_address(host).version == 6
+    except ValueError:
+        return None
+    if not port.isdecimal() or not 0 < int(port) <= 65535:
+        raise line.bad(f"{text!r} has no port from 1 to 65535")
+    return f"[{host}]:{port}" if wide else f"{host}:{port}"
+
+
+class Conversion:
+    """One backend on its way into an operator's file."""
+
+    def __init__(self, notes: list[str]) -> None:
+        self.notes = notes
+        self.targets: list[dict[str, Any]] = []
+        self.server_words: list[str] = []
+        self.hashed = self.consistent = False
+        self.bound = 0.0
+        self.times: dict[str, float] = {}
+        self.attempts = 4  # HAProxy's own default: three retries
+        self.listen = ""
+        self.sockets = 0
+
+    def note(self, line: Line, what: str = "") -> None:
+        self.notes.append(f"{line.at}: {what or ' '.join(line.words[:2])}: not carried over")
+
+    def take(self, line: Line) -> None:
+        """One statement of a section that counts for the backend."""
+        word, *rest = line.words
+        if len(rest) < LEAST.get(word, 0):
+            raise line.bad(f"{word}: something is missing")
+        reader = getattr(self, "_" + word.replace("-", "_"), None)
+        if reader is not None:
+            reader(line, rest)
+        elif word == "mode":
+            if rest[:1] not in ([m] for m in MODES):
+                self.note(line)
+        elif word in ("description", "default_backend") or (word == "option" and rest[:1] == ["redispatch"]):
+            pass  # a retry goes to another server here anyway
+        else:
+            self.note(line)
+
+    def _bind(self, line: Line, rest: list[str]) -> None:
+        at = endpoint(line, rest[0])
+        if at is None or self.listen:
+            self.note(line)
+            return
+        self.listen = at
+        if len(rest) > 1:
+            self.note(line, f"bind {rest[1]}")
+
+    def _balance(self, line: Line, rest: list[str]) -> None:
+        self.hashed = rest[0].split("(")[0] in HASHED
+        if not self.hashed:
+            self.note(line, f"balance {rest[0]} (connections are placed by their keys' hash)")
+
+    def _hash_type(self, line: Line, rest: list[str]) -> None:
+        self.consistent = rest[0] == "consistent"
+        if not self.consistent:
+            self.note(line, f"hash-type {rest[0]} (it is consistent here)")
+        elif len(rest) > 1:
+            self.note(line, f"hash function {rest[1]}")
+
+    def _hash_balance_factor(self, line: Line, rest: list[str]) -> None:
+        factor = whole(line, rest[0], 0, 65535)
+        if 0 < factor <= 100:
+            raise line.bad("hash-balance-factor must be 0 or over 100")
+        self.bound = factor / 100
+        if not factor:
+            self.note(line, "hash-balance-factor 0 (load is always bounded here)")
+
+    def _timeout(self, line: Line, rest: list[str]) -> None:
+        value = milliseconds(line, rest[1])
+        if rest[0] in ("connect", "server"):
+            self.times[rest[0]] = value
+        else:
+            self.note(line)
+
+    def _retries(self, line: Line, rest: list[str]) -> None:
+        self.attempts = whole(line, rest[0], 0, 100) + 1
+
+    def _maxconn(self, line: Line, rest: list[str]) -> None:
+        self.note(line)
+
+    def _default_server(self, line: Line, rest: list[str]) -> None:
+        self.server_words = rest
+
+    def _server(self, line: Line, rest: list[str]) -> None:
+        name, at = rest[0], endpoint(line, rest[1])
+        if any(target["uid"] == name for target in self.targets):
+            raise line.bad(f"server {name} stands twice")
+        if at is None:
+            self.note(line, f"server {name}: {rest[1]} is no address and port")
+            return
+        target = {"uid": name, "endpoint": at, "state": "SERVING", "az": "site", "model": "server",
+                  "capacity_hint": 1.0}
+        words = [*self.server_words, *rest[2:]]
+        while words:
+            word = words.pop(0)
+            if word == "weight":
+                weight = whole(line, words.pop(0) if words else "", 0, 256)
+                target["capacity_hint"] = float(weight or 1)
+                target["state"] = "SERVING" if weight else "DRAINING"
+            elif word == "disabled":
+                target["state"] = "DRAINING"
+            elif word in CHECKS:
+                del words[: CHECKS[word]]
+            else:
+                left = [word]
+                while words and words[0] not in CHECKS and words[0] not in ("weight", "disabled"):
+                    left.append(words.pop(0))
+                self.note(line, f"server {name}: {' '.join(left)}")
+        self.targets.append(target)
+
+
+def convert(file: str, text: str, wanted: str = "") -> tuple[dict[str, Any], list[str]]:
+    """An operator's file as a table, and a line for whatever it can't carry over."""
+    notes: list[str] = []
+    found = sections(file, text, notes)
+    backends = [s for s in found if s.kind in ("backend", "listen")]
+    if wanted:
+        backends = [s for s in backends if s.name == wanted]
+    if not backends:
+        raise ImportError_(f"{file}: there is no backend {wanted}".rstrip())
+    if len(backends) > 1:
+        raise ImportError_(f"{file}: several backends, choose one: {', '.join(s.name for s in backends)}")
+    backend = backends[0]
+    made = Conversion(notes)
+    for section in found:
+        if section.kind == "global":
+            for line in section.lines:
+                if line.words[0] == "maxconn" and len(line.words) > 1:
+                    made.sockets = 2 * whole(line, line.words[1], 1, 1 << 20) + 64
+                else:
+                    made.note(line)
+    fronts = [s for s in found if s.kind == "frontend" and any(
+        line.words == ["default_backend", backend.name] for line in s.all())]
+    for section in found:
+        if section.kind in ("frontend", "backend", "listen") and section not in (backend, *fronts):
+            notes.append(f"{section.at}: {section.kind} {section.name}: not carried over")
+    for front in fronts:
+        for line in front.lines:
+            made.take(line)
+    for line in backend.all():
+        made.take(line)
+    if not made.targets:
+        raise ImportError_(f"{backend.at}: {backend.name} has no server that can be carried over")
+    if not (made.hashed and made.consistent):
+        notes.append(f"{backend.at}: {backend.name} is not placed by a consistent hash; here it will be")
+    return _table(backend.name, made), list(dict.fromkeys(notes))
+
+
+def _table(name: str, made: Conversion) -> dict[str, Any]:
+    connect = made.times.get("connect", 250.0)
+    deadline = made.times.get("server", 3000.0)
+    settings: dict[str, Any] = {
+        "peersTotal": 1, "locality": 0, "zones": ["site"], "kinds": ["server"],
+        "membershipMode": "automatic", "weights": "nominal",
+        "classes": [{"name": name, "aimMs": min(500.0, deadline), "hardLimitMs": deadline, "repeat": "pure"}],
+        "limits": {"maxAttempts": made.attempts, "connectTimeoutMs": connect, "cancelling": True,
+                   "retryAfter": True, "maxRetryAfterMs": 1500},
+        "rules": {"drainGraceMs": 500, "answerSlackMs": 20, "coldFrom": 0.31, "warmAfterMs": 9000,
+                  "overloadFactor": 3, "fallMs": 1000},
+    }
+    if made.bound:
+        settings["bound"] = made.bound
+    return {
+        "name": name, "listen": made.listen or "127.0.0.1:5000",
+        **({"limits": {"sockets": made.sockets}} if made.sockets else {}),
+        "settings": settings,
+        "known": {"rev": 1, "all": True, "targets": made.targets},
+    }
