Refused clients are told when to come back, about a second, each by its own lot

Cause: choice.py's _answer refused with wait 0, so a client in an overloaded fleet had no word on when to return. Now Refuse carries a tick (1 s) times 0.5 to 1.5, by a hash of the request, at most limits.maxRetryAfterMs: loads are reckoned anew once a tick, so no ceiling gives before. It is given at once, as before, never held.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -35,7 +35,8 @@
     gc.freeze()  # what was loaded stays; the collector need not look at it again
     node = Node(reactor, told, Clock())
     node.start()
-    signal.signal(signal.SIGTERM, lambda number, frame: reactor.callFromThread(node.stop))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda number, frame: reactor.callFromThread(node.stop))
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -580,9 +580,14 @@
         """The one final answer; a refusal only where a retry is known to do no harm."""
         effect, scope = request.rules.effect, request.rules.scope
         harmless = effect == Effect.SAFE or (effect == Effect.KEYED and scope == Scope.ALL) or not request.ran
-        self.actions.append(Refuse(request.id, 0.0) if harmless and not request.out else Fail(request.id))
+        refuse = harmless and not request.out
+        self.actions.append(Refuse(request.id, self._come_back(request)) if refuse else Fail(request.id))
         self._close(request)
 
+    def _come_back(self, request: Request) -> float:
+        """When a refused client may come again: after a tick, when ceilings may give; not all at once."""
+        return min(self.settings.max_wait_ms, TICK_MS * (0.5 + lot(request.id, self.settings.zone)))
+
     def _close(self, request: Request) -> None:
         """Nothing more is owed; an attempt still out is followed to its outcome."""
         if request.answered:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -356,6 +356,23 @@
     assert refused
 
 
+@pytest.mark.parametrize("longest", [1500.0, 700.0, 0.0])  # 0: clients here are told none
+def test_a_refused_client_is_told_at_once_when_to_come_back(longest: float) -> None:
+    gateway = Gateway(replace(SETTINGS, max_wait_ms=longest), servers=2)
+    for request in range(1, 41):
+        gateway.connect(request, key=request, load=1.0)
+    for _ in range(8):
+        for server in (1, 2):
+            gateway.delay(server, 500)
+        gateway.wait(1000)
+    for request in range(1000, 1020):
+        gateway.ask(request, key=request)
+    refused = [a for a in gateway.wait(300) if isinstance(a, Refuse)]  # their time would be up at 1200
+    assert len(refused) > 2
+    assert all(min(longest, 500) <= a.wait_ms <= longest for a in refused)
+    assert longest != 1500 or len({a.wait_ms for a in refused}) == len(refused)  # not all at the same time
+
+
 def test_gateways_do_not_all_fill_an_empty_server_under_its_ceiling() -> None:
     """Nine gateways that each round up to a whole connection would push a strained server over again."""
     gateway = filled()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -108,13 +108,13 @@
             host.write(said)
             if not said:
                 host.transport.abortConnection()
-            self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+            self.assertRegex(await client.line(), rb"^BUSY \d+$")
             self.assertEqual(self.ends(Ended)[-1].outcome, outcome)
             server = self.node.engine.balancer.servers[self.node.directory.number("h0")]
             server.suspect_until, server.ceiling = 0.0, float("inf")  # each as if it were the first
         await self.hosts["h0"].port.stopListening()
         client = await self.client(ASK)
-        self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+        self.assertRegex(await client.line(), rb"^BUSY \d+$")
         self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.CONNECT_FAILED)
 
     async def test_a_host_that_is_down_costs_the_client_nothing(self) -> None:
@@ -134,7 +134,7 @@
         client = await self.client(ASK.replace("1100", "400"))
         _, host = await self.host_of()
         await host.line()
-        self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+        self.assertRegex(await client.line(), rb"^BUSY \d+$")
         self.assertLess(ms(self.node.deadlines.clock.now() - start), 400 + 70)
         self.assertEqual(await host.ended(), "ConnectionDone")
         self.assertEqual(len(self.node.engine.held), 0)
@@ -162,7 +162,7 @@
         client = await self.client()
         with patch("twisted.internet.tcp.Client.createInternetSocket", side_effect=OSError(24, "none left")):
             client.write(ASK.encode() + b"\r\n")
-            self.assertRegex(await client.line(), rb"^(BUSY( \d+)?|ERR)$")
+            self.assertRegex(await client.line(), rb"^BUSY \d+$")
         await self.served(ASK)
         with patch.object(node, "SPARE", 1024):  # no room for a client and its host
             other = await self.client(ASK)
