Dispatch HAProxy's keywords by a table, and count QUIC flows among descriptors

Cause: haproxy.py looked readers up by getattr with a word of the input; a word like _init__ would have met a method that is none of them. The node's crowded() did not count the QUIC front's sockets. Dead code (an unused flag, a reader that did what the default does) is gone; the plug-in's asking for its list has a test.

--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -120,7 +120,6 @@
         self.balancer, self.settings, self.deadlines, self.follow = balancer, settings, deadlines, follow
         self.clock = deadlines.clock
         self.held: Slots[Held] = Slots()
-        self.closing = False
         self._events: deque[Event] = deque()
         self._busy = False
         self._unfit: dict[int, timedelta] = {}  # servers that drain or are gone, and since when that is known
--- a/puffindeck/importer/haproxy.py
+++ b/puffindeck/importer/haproxy.py
@@ -4,6 +4,7 @@
 
 import re
 import shlex
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from ipaddress import ip_address
 from typing import Any
@@ -143,6 +144,11 @@
         self.attempts = 4  # HAProxy's own default: three retries
         self.listen = ""
         self.sockets = 0
+        self.readers: dict[str, Callable[[Line, list[str]], None]] = {
+            "bind": self._bind, "balance": self._balance, "hash-type": self._hash_type,
+            "hash-balance-factor": self._hash_balance_factor, "timeout": self._timeout,
+            "retries": self._retries, "default-server": self._default_server, "server": self._server,
+        }
 
     def note(self, line: Line, what: str = "") -> None:
         self.notes.append(f"{line.at}: {what or ' '.join(line.words[:2])}: not carried over")
@@ -152,9 +158,8 @@
         word, *rest = line.words
         if len(rest) < LEAST.get(word, 0):
             raise line.bad(f"{word}: something is missing")
-        reader = getattr(self, "_" + word.replace("-", "_"), None)
-        if reader is not None:
-            reader(line, rest)
+        if word in self.readers:
+            self.readers[word](line, rest)
         elif word == "mode":
             if rest[:1] not in ([m] for m in MODES):
                 self.note(line)
@@ -202,9 +207,6 @@
     def _retries(self, line: Line, rest: list[str]) -> None:
         self.attempts = whole(line, rest[0], 0, 100) + 1
 
-    def _maxconn(self, line: Line, rest: list[str]) -> None:
-        self.note(line)
-
     def _default_server(self, line: Line, rest: list[str]) -> None:
         self.server_words = rest
 
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -119,16 +119,13 @@
 
     def connect(self, reactor: Any, address: tuple[str, int], patience: timedelta) -> None:
         """Try to reach the host. Only the deadlines' one timer runs on it, not one of the reactor's own."""
-        self._patience = self.deadlines.after(patience, self._unreachable)
+        self._patience = self.deadlines.after(patience, self.finish, Outcome.CONNECT_FAILED)
         try:
             self._connector = reactor.connectTCP(*address, self, timeout=None)
         except Exception as error:  # no descriptor left, or an address of no use: never a crash
             log.warn("host {host}: can't connect: {error}", host=self.host, error=error)
             self.finish(Outcome.CONNECT_FAILED)
 
-    def _unreachable(self) -> None:
-        self.finish(Outcome.CONNECT_FAILED)
-
     def buildProtocol(self, addr: object) -> HostLine:
         return HostLine(self)
 
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -116,7 +116,8 @@
 
     def crowded(self) -> bool:
         """Are there too few descriptors left for one more client and its host? Each takes two."""
-        return 2 * len(self.clients) + SPARE > self.told.sockets or self.engine.held.full()
+        flows = len(self.quic.flows) if self.quic is not None else 0
+        return 2 * len(self.clients) + flows + SPARE > self.told.sockets or self.engine.held.full()
 
     def come_back(self) -> timedelta:
         return COME_BACK
--- a/tests/test_plugin.py
+++ b/tests/test_plugin.py
@@ -104,6 +104,22 @@
             await endpoint.connect(AMP).addTimeout(2, reactor)
         await self.gone()
 
+    async def test_a_list_that_must_be_asked_for_is_asked_for_again_when_it_cant_be_had(self) -> None:
+        self.balancing.stop()
+        self.balancing = Balancing(reactor, replace(SETTINGS, connect_timeout_ms=100), 7)
+        self.addCleanup(self.balancing.stop)
+        self.serve("one")
+        asked: list[int] = []
+
+        def ask() -> None:
+            asked.append(1)
+            reactor.callLater(0, self.balancing.unlisted if len(asked) == 1 else self.list)
+
+        self.balancing.on_ask(ask)
+        self.assertEqual((await self.call(self.balancing.endpoint()))[1], "one")
+        self.assertEqual(len(asked), 2)
+        await self.gone()
+
     async def test_a_connect_given_up_by_its_caller_leaves_nothing(self) -> None:
         mute = Listener()
         self.addCleanup(mute.port.stopListening)
