A call that discovery refuses is one failure to the module, not two

Cause: discovery.py's _answered gave a 503's body to the watch's reader before it called the watch broken; the body's end was told as a second failure, so the module doubled its wait twice for each call. The story on watches now wants exactly one failure; it fails without the fix.

--- a/puffindeck/net/discovery.py
+++ b/puffindeck/net/discovery.py
@@ -104,10 +104,13 @@
         if self._stopped:
             return
         self._lines = lines = _Lines(self)
+        if response.code != 200:  # one failure, not a second one when its body ends
+            lines.watch = None
+            response.deliverBody(lines)
+            self.broken(f"status {response.code}")
+            return
         self._wait_on()
         response.deliverBody(lines)
-        if response.code != 200:
-            self.broken(f"status {response.code}")
 
     def _refused(self, failure: Failure) -> None:
         if self._call is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -206,6 +206,8 @@
             watch = await self.discovery.next()
             watch.write(b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
             await self.until(lambda: self.ends(Listed)[-1].kind == ListKind.FAILED, "its failure")
+            await watch.ended()
+            self.assertEqual([e.kind for e in self.ends(Listed)], [ListKind.CACHED, ListKind.FAILED])
             for ill in (b"", b"3\r\n{]\n\r\n"):
                 watch = await self.watched()
                 self.news(watch, 5, True, *(self.target(uid) for uid in self.hosts))
