SIGHUP re-reads the file and takes up a changed discovery, instead of ending the node

No handler for SIGHUP stood in puffindeck/__main__.py, and Python's default ends the process.

Now: config.again() reads the file through config.node(); a discovery that has changed in the file goes before the environment's. The new address is asked for its whole list, then watched from that version, since its versions may say nothing of the old one's; the old watch is stopped first, so its late answers find nobody. limits.sockets holds too. A file that can't be used changes nothing; keys that take a restart are logged. A handler stands before the file is first read; what it asks for is done once the reactor runs.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -25,6 +25,9 @@
     arguments = ArgumentParser(prog="puffindeck", description="One real node.")
     arguments.add_argument("--config", default="", metavar="FILE", help="an operator's file, for EDGE_CONFIG")
     chosen = arguments.parse_args()
+    # Before the file is read: a change of it that is told from here on is not missed. What a handler asks for
+    # is done once the reactor runs.
+    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(lambda: reload()))
     try:
         told = config.node(os.environ, chosen.config)
     except config.ConfigError as error:
@@ -34,6 +37,10 @@
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
     gc.freeze()  # what was loaded stays; the collector need not look at it again
     node = Node(reactor, told, Clock())
+
+    def reload() -> None:
+        node.reload(lambda now: config.again(now, os.environ, chosen.config))
+
     node.start()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda number, frame: reactor.callFromThread(node.stop))
--- a/puffindeck/config.py
+++ b/puffindeck/config.py
@@ -205,6 +205,7 @@
     known: Members
     settings: Settings
     quic: Quic | None = None
+    file: NodeFile | None = None  # as it was read: what a reload compares with
 
 
 def address(text: str, key: str) -> tuple[str, int]:
@@ -295,4 +296,35 @@
         known=file.known or Members(0, True, []),
         settings=settings,
         quic=quic(file.quic, settings) if file.quic else None,
+        file=file,
     )
+
+
+RELOADED = ("discovery", "limits")  # keys that a running node takes up, and `known` where that is the list
+UNSEEN = ("seed", "known")  # a node's own from its start on: no word is lost on their change
+
+
+def again(told: Node, environment: Mapping[str, str], operators: str = "") -> tuple[Node, list[str]]:
+    """The file read anew by a running node: what holds from now on, and changed keys that take a restart.
+
+    The environment can't change meanwhile, so a `discovery` that has changed in the file goes before it.
+    """
+    new = node(environment, operators)
+    before, file = told.file, new.file
+    assert before is not None
+    assert file is not None
+    discovery = told.discovery
+    if file.discovery and file.discovery != before.discovery:
+        discovery = address(file.discovery, "discovery")
+    later = [
+        key for key in NodeFile.__struct_fields__
+        if key not in RELOADED + UNSEEN and getattr(file, key) != getattr(before, key)
+    ]
+    if before.discovery and not file.discovery:
+        later.append("discovery")
+    known = told.known if told.discovery else new.known
+    file.discovery = file.discovery or before.discovery
+    for key in later:  # still to be named at the next reload, as the old values stay in force
+        setattr(file, key, getattr(before, key))
+    kept = msgspec.structs.replace(told, discovery=discovery, sockets=new.sockets, known=known, file=file)
+    return kept, later
--- a/puffindeck/net/discovery.py
+++ b/puffindeck/net/discovery.py
@@ -72,12 +72,34 @@
             self.transport.loseConnection()
 
 
+class _Whole(_Lines):
+    """The answer that has the whole list, read to its end."""
+
+    def __init__(self, watch: Watch) -> None:
+        super().__init__(watch)
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > self.MAX_LENGTH and self.watch is not None:
+            self.watch.broken("a list over 4 MiB")
+
+    def connectionLost(self, reason: Any = None) -> None:
+        if self.watch is not None:  # one cut short can't be read
+            self.watch.whole(b"".join(self._parts))
+
+
 class Watch:
-    """One watch at a time. When it breaks the module is told, and says when to ask again."""
+    """One watch at a time. When it breaks the module is told, and says when to ask again.
+
+    With no version to watch from, the whole list is asked for first.
+    """
 
     def __init__(
         self, reactor: Any, discovery: tuple[str, int], deadlines: Deadlines, directory: Directory,
-        engine: Engine, version: int, heard: Callable[[], None],
+        engine: Engine, version: int | None, heard: Callable[[], None],
     ) -> None:
         host, port = discovery
         self._base = f"http://[{host}]:{port}" if ":" in host else f"http://{host}:{port}"
@@ -94,7 +116,8 @@
         """Watch from what is known on. A call while one is out would cost discovery twice."""
         if self._call is not None or self._lines is not None or self._stopped:
             return
-        url = f"{self._base}{PATH}?watch=1&after={self.version}"
+        watch = "" if self.version is None else f"?watch=1&after={self.version}"
+        url = f"{self._base}{PATH}{watch}"
         self._patience = self._deadlines.after(ANSWER, self.broken, "no answer")
         self._call = call = self._agent.request(b"GET", url.encode())
         call.addCallbacks(self._answered, self._refused)
@@ -103,13 +126,14 @@
         self._call = None
         if self._stopped:
             return
-        self._lines = lines = _Lines(self)
+        self._lines = lines = _Whole(self) if self.version is None else _Lines(self)
         if response.code != 200:  # one failure, not a second one when its body ends
             lines.watch = None
             response.deliverBody(lines)
             self.broken(f"status {response.code}")
             return
-        self._wait_on()
+        if self.version is not None:
+            self._wait_on()
         response.deliverBody(lines)
 
     def _refused(self, failure: Failure) -> None:
@@ -124,17 +148,26 @@
     def line(self, line: bytes) -> None:
         """An empty line says only that the watch is alive."""
         self._wait_on()
-        if not line:
-            return
+        if line:
+            self._read(line)
+
+    def whole(self, text: bytes) -> None:
+        """The whole list has come, and what changes in it from now on is watched."""
+        if self._read(text):
+            self._drop()
+            self.ask()
+
+    def _read(self, text: bytes) -> bool:
         try:
-            members = DECODER.decode(line)
+            members = DECODER.decode(text)
         except msgspec.MsgspecError as error:  # what it said is lost, so what comes after would be wrong
             self.broken(f"a line that can't be read: {error}")
-            return
+            return False
         self.version = members.rev
         kind = ListKind.FULL if members.all else ListKind.CHANGES
         self._engine.listed(kind, members.rev, self._directory.entries(members))
         self._heard()
+        return True
 
     def broken(self, why: str) -> None:
         """The call or the watch has failed."""
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -10,8 +10,8 @@
 from twisted.logger import Logger
 
 from puffindeck.choice import Balancer
+from puffindeck.config import ConfigError, Quic
 from puffindeck.config import Node as Told
-from puffindeck.config import Quic
 from puffindeck.core.clock import Clock, span
 from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.engine import Engine
@@ -59,11 +59,9 @@
         self.connect_patience = span(settings.connect_timeout_ms)
         balancer = Balancer(settings, told.seed)
         self.engine = Engine(balancer, settings, self.deadlines, self._follow)
-        self.watch = told.discovery and Watch(
-            reactor, told.discovery, self.deadlines, self.directory, self.engine, told.known.rev, self._ready
-        )
+        self.watch = self._watch(told.known.rev) if told.discovery else None
         self.clients: set[ClientLine] = set()
-        self.ready = self.stopping = False
+        self.ready = self.stopping = self.ended = False
         self._waiting: list[Callable[[], None]] = []
         self.port: Any = None
         self.quic: QuicFront | None = None
@@ -93,6 +91,34 @@
         self.quic_port = self.reactor.listenUDP(port, self.quic, interface=host, maxPacketSize=65535)
         log.info("node {name}: QUIC on {host}:{port}", name=self.told.name, host=host, port=port)
 
+    def _watch(self, version: int | None) -> Watch:
+        assert self.told.discovery is not None
+        return Watch(self.reactor, self.told.discovery, self.deadlines, self.directory, self.engine, version,
+                     self._ready)
+
+    def reload(self, read: Callable[[Told], tuple[Told, list[str]]]) -> None:
+        """Take up what has changed in the file. One that can't be used changes nothing."""
+        if self.ended:
+            return
+        try:
+            told, later = read(self.told)
+        except ConfigError as error:
+            log.error("reload: the old settings stay in force: {error}", error=error)
+            return
+        if later:
+            log.warn("reload: these take a restart: {keys}", keys=", ".join(later))
+        before, self.told = self.told, told
+        if told.discovery != before.discovery:
+            # another service: its list is asked for whole, as its versions may say nothing of the old one's
+            if self.watch is not None:
+                self.watch.stop()
+            self.watch = self._watch(None)
+            self.watch.ask()
+        elif told.discovery is None and told.known != before.known:
+            self.engine.listed(ListKind.FULL, told.known.rev, self.directory.entries(told.known))
+        host, port = told.discovery or ("none", 0)
+        log.info("reload: done, discovery {host}:{port}", host=host, port=port)
+
     def _follow(self) -> None:
         if self.watch is not None:
             self.watch.ask()
@@ -157,6 +183,7 @@
                 if self.deadlines.clock.now() >= self._stop_at - STOP + SEND_AWAY:
                     self.engine.send_away(number)
         if not self.clients or late:
+            self.ended = True
             if self.watch is not None:
                 self.watch.stop()
             log.info("node {name}: stopped", name=self.told.name)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
 from functools import partial
+from pathlib import Path
+from typing import Any
 from unittest.mock import patch
 
+import msgspec
+
+from puffindeck import config
 from puffindeck.core.clock import ms, span
 from puffindeck.core.engine import Ticket
 from puffindeck.interface import DelayTold, Ended, Listed, ListKind, Opened, Outcome
 from puffindeck.net import discovery, node
 from puffindeck.net.heads import Head, HeadError
-from tests.stories import Story
+from tests.stories import Listener, Story
 
 ASK = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=1100,g=5c0f6e1a2b3d4c59"
 
@@ -238,3 +249,95 @@
         self.assertEqual(b"".join(head.parts(span(7.9))), b"OPEN 1 zz,z c=chat,d=7,x=d=3\r\n")
         with self.assertRaises(HeadError):
             Head(b"OPEN 1 2 c=chat")
+
+
+class ReloadStories(Story):
+    """A configuration file that is replaced under a running node."""
+
+    def folder(self) -> Path:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return Path(folder.name)
+
+    def configured(self, **changes: Any) -> str:
+        """The file that the node reads at a reload."""
+        settings = json.loads(Path("examples/node.json").read_text())["settings"]
+        at = self.discovery.address
+        file = {"name": "n0", "listen": "127.0.0.1:0", "discovery": at, "settings": settings} | changes
+        path = self.folder() / "node.json"
+        path.write_text(json.dumps(file))
+        return str(path)
+
+    @staticmethod
+    def logged(log: Path, after: int) -> bool:
+        return "reload: done" in log.read_text()[after:]
+
+    def reread(self, path: str) -> None:
+        self.node.reload(lambda told: config.again(told, {"EDGE_CONFIG": path}))
+
+    async def test_a_reload_goes_to_the_new_discovery_and_keeps_what_stands(self) -> None:
+        self.build()
+        path = self.configured()
+        read = config.node({"EDGE_CONFIG": path})
+        self.node.told = msgspec.structs.replace(self.node.told, file=read.file)
+        client, uid, host = await self.served(ASK)
+        old = await self.watched()
+        other = Listener()
+        self.addCleanup(self.discovery.port.stopListening)
+        (h0, h1), before = self.hosts, self.node.watch
+        self.reread(path)
+        self.assertIs(self.node.watch, before)  # nothing has changed
+        for bad in ("", '{"name": ', json.dumps({"settings": 3})):
+            Path(path).write_text(bad)
+            self.reread(path)
+            self.assertIs(self.node.watch, before)
+        self.reread(path + "-missing")
+        self.assertIs(self.node.watch, before)
+
+        self.reread(self.configured(discovery=other.address, limits={"sockets": 300}, seed="5"))
+        self.assertEqual(self.node.told.sockets, 300)
+        await old.ended()
+        self.discovery, gone = other, self.discovery
+        listing = await other.next()
+        self.assertEqual(await listing.line(), b"GET /catalog/members HTTP/1.1")
+        rows = [{"uid": h0, "state": "DRAINING"}, {"uid": h1, "state": "SERVING"}]
+        body = json.dumps({"rev": 1, "all": True, "targets": rows}).encode()
+        listing.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        watch = await other.next()
+        self.assertIn(b"watch=1&after=1 ", await watch.line())
+        self.assertEqual([(e.kind, len(e.entries)) for e in self.ends(Listed)][-1], (ListKind.FULL, 2))
+        self.assertEqual(len(gone.peers), 1)  # the old one is not asked again
+        client.write(b"still here\r\n")
+        self.assertEqual(await host.line(), b"still here")
+        held = self.node.engine.balancer.servers[self.node.directory.number(uid)]
+        self.assertEqual(len(held.conns), 1)
+        other.peers += gone.peers
+
+    def test_what_a_reload_cant_change_is_named_each_time_and_stays(self) -> None:
+        self.discovery = Listener()
+        self.addCleanup(self.discovery.port.stopListening)
+        told = config.node({"EDGE_CONFIG": self.configured(), "EDGE_DISCOVERY": "127.0.0.1:9"})
+        for _ in range(2):
+            path = self.configured(listen="127.0.0.1:7", known={"rev": 3, "all": True, "targets": []})
+            told, later = config.again(told, {"EDGE_CONFIG": path, "EDGE_DISCOVERY": "127.0.0.1:9"})
+            self.assertEqual(later, ["listen"])
+            self.assertEqual(told.discovery, ("127.0.0.1", 9))  # the file's has not changed
+        self.assertEqual(told.listen, ("127.0.0.1", 0))
+
+    async def test_a_hangup_does_not_end_the_program(self) -> None:
+        self.build()
+        path = self.configured()
+        log = self.folder() / "log"
+        with log.open("wb") as out:
+            program = subprocess.Popen([sys.executable, "-m", "puffindeck"], stdout=out,
+                                       env=os.environ | {"EDGE_CONFIG": path})
+        self.addCleanup(program.kill)
+        self.assertIsNotNone(await self.discovery.next())  # the node of the story
+        self.assertIsNotNone(await self.discovery.next())  # the program
+        for _ in range(2):
+            before = len(log.read_text())
+            program.send_signal(signal.SIGHUP)
+            await self.until(partial(self.logged, log, before), "the reload")
+        program.send_signal(signal.SIGTERM)
+        await self.until(lambda: program.poll() is not None, "its end")
+        self.assertEqual(program.returncode, 0)
