Strangers get a part of the descriptors and 2 s, and what they send is never passed on

Now: net/door.py holds clients with nothing asked yet and those answered that have not gone, one sixth of the descriptors, oldest out first; crowded() counts clients served and connections to hosts as they are. 2 s for a first line. A second line before the answer, the id of an open request, or a figure that is not plain digits is ERR.

--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -9,20 +9,23 @@
 from twisted.protocols.basic import LineReceiver
 
 from puffindeck.core.clock import ZERO, ms, span
+from puffindeck.core.deadlines import Deadline
 from puffindeck.core.engine import Link as CoreLink
 from puffindeck.core.engine import Request, Ticket
 from puffindeck.interface import Outcome
 from puffindeck.net.heads import CRLF, MAX_LINE, Head, HeadError
-from puffindeck.net.host import Link, close
+from puffindeck.net.host import LINGER, Link
 
 if TYPE_CHECKING:
     from puffindeck.net.node import Node
 
 log = Logger("puffindeck")
 
-EARLY = 65536  # bytes that a client may send before it is served
 HALF_LINE = span(700)  # how long a MOVE waits for the end of a line
-FIRST_LINE = span(30000)  # how long a connection may be without a first line
+FIRST_LINE = span(2000)  # how long a connection may be without a first line
+# A close over input that was not read resets the connection, and what was said last may be lost with it. So
+# what a client still sends is taken in, this much at a time, until it closes too or has had its time.
+DRAIN, DRAIN_PAUSE = 1 << 18, span(50)
 AT_WAIT, AT_TRY = span(40000), span(300)  # a connection from before the run: how long, how often it is tried
 
 
@@ -38,8 +41,7 @@
         self.request = 0
         self.link: Link | None = None
         self._head: Head | None = None
-        self._early: list[bytes] = []
-        self._early_size = 0
+        self._drained = 0
         self._line_open = False  # in the middle of a host's line
         self._moving = self._over = False
         self._ticket: Ticket | None = None  # of a connection that was open before the run
@@ -49,32 +51,52 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.node.clients.add(self)
-        self._patience = self.deadlines.after(FIRST_LINE, self._idle)
+        self.node.door.comes(self)
+        self._patience: Deadline | None = self.deadlines.after(FIRST_LINE, self._idle)
 
     def _idle(self) -> None:
-        if self._head is None:
-            self._finish()
+        """It has said nothing, or only the start of a line."""
+        if self._head is None and not self._over:
+            if self.clearLineBuffer():
+                self._turn_away("no end of the line in time")
+            else:
+                self.put_out()
+
+    def put_out(self) -> None:
+        """Close at once, with nothing more to say."""
+        if self._over:
+            self.transport.abortConnection()
+        else:
+            self._over = True
+            self.transport.loseConnection()
 
     # The first line
 
     def lineReceived(self, line: bytes) -> None:
         if self._over:
             return
-        if line == b"PING":
+        more = self.clearLineBuffer()
+        if line == b"PING" and not more:
             self.deadlines.cancel(self._patience)
+            self.node.door.asks(self)
             self.node.when_ready(self.pong)
             return
         try:
+            if more:  # a client waits for its answer before it sends anything else
+                raise HeadError("more than one line")
             head = Head(line)
             cls = self.node.classes.get(head.cls)
             if cls is None:
                 raise HeadError(f"class {head.cls[:40]!r} is not known")
+            if head.id in self.node.open_ids:  # hosts would take the one for the other
+                raise HeadError("the id of an open request")
         except HeadError as error:
-            log.warn("client: first line can't be read: {error}", error=error)
-            self._answer(b"ERR")
+            self._turn_away(str(error))
             return
         self._head = head
+        self.node.open_ids.add(head.id)
         self.deadlines.cancel(self._patience)
+        self.node.door.asks(self)
         self.setRawMode()
         left = head.left or ZERO
         asked = Request(cls, head.key, left, head.hint, head.group, head.returning)
@@ -90,21 +112,39 @@
             self.request = self.engine.request(self, asked)
 
     def lineLengthExceeded(self, line: bytes) -> None:
-        log.warn("client: first line over 4 KiB")
+        if not self._over:
+            self._turn_away("over 4 KiB")
+
+    def _turn_away(self, why: str) -> None:
+        """It sends what can't be read, or out of turn: nothing of it is served."""
+        self.node.few.warn("client: first line can't be read: {why}", why=why)
         self._answer(b"ERR")
 
     def pong(self) -> None:
         if not self._over:
             self.sendLine(b"PONG")
+            self.node.door.comes(self)  # like any other from now on
+            self._patience = self.deadlines.after(FIRST_LINE, self._idle)
 
     def rawDataReceived(self, data: bytes) -> None:
         if self.link is not None and self.link.up:
             self.link.send(data)
-        elif not self._over:
-            self._early.append(data)
-            self._early_size += len(data)
-            if self._early_size > EARLY:
+        elif self._over:
+            self._drained += len(data)
+            if self._drained >= DRAIN:
+                self._drained = 0
                 self.transport.pauseProducing()
+                self.deadlines.after(DRAIN_PAUSE, self._drain)
+        elif self._ticket is None:
+            self.engine.client_left(self.request)
+            self._turn_away("more than one line")
+        else:
+            self.engine.ended(self._ticket, Outcome.CANCELLED)
+            self._turn_away("more than one line")
+
+    def _drain(self) -> None:
+        if self in self.node.clients:
+            self.transport.resumeProducing()
 
     # The engine's client: answers, attempts
 
@@ -117,9 +157,16 @@
         if address is None:
             link.finish(Outcome.CONNECT_FAILED)
             return None
-        link.connect(self.node.reactor, address, self.node.connect_patience)
+        self._connect(link, address)
         return None if link.done else link
 
+    def _connect(self, link: Link, address: tuple[str, int]) -> None:
+        self.node.links.add(link)
+        link.connect(self.node.reactor, address, self.node.connect_patience)
+
+    def link_closed(self, link: Link) -> None:
+        self.node.links.discard(link)
+
     def refuse(self, wait: timedelta) -> None:
         self._answer(b"BUSY %d" % ms(wait) if wait > ZERO else b"BUSY")
 
@@ -132,10 +179,23 @@
             self._finish()
 
     def _finish(self) -> None:
-        """Nothing more is to be said."""
-        if not self._over:
-            self._over = True
-            close(self.transport, self.deadlines, lambda: self in self.node.clients)
+        """Nothing more is to be said: end this side once all is written, and let the client end its own."""
+        if self._over:
+            return
+        self._over = True
+        self._drop_id()
+        self.deadlines.cancel(self._patience)
+        self.node.door.leaves(self)
+        self.clearLineBuffer()
+        self.setRawMode()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.transport.resumeProducing()  # its host may have paused it
+        self._patience = self.deadlines.after(LINGER, self.put_out)
+
+    def _drop_id(self) -> None:
+        if self._head is not None:
+            self.node.open_ids.discard(self._head.id)
 
     # Connections that were open before the run
 
@@ -157,7 +217,7 @@
             self, self.engine, self.deadlines, self._ticket, self._server, host, self._head, self._until
         )
         self.engine.linked(self._ticket, link)
-        link.connect(self.node.reactor, address, self.node.connect_patience)
+        self._connect(link, address)
 
     # Once served
 
@@ -188,11 +248,6 @@
         host = link.line.transport
         self.transport.registerProducer(host, True)
         host.registerProducer(self.transport, True)
-        early, self._early = self._early, []
-        if early:
-            link.send(b"".join(early))
-        if self._early_size > EARLY:
-            self.transport.resumeProducing()
 
     def from_host(self, data: bytes) -> None:
         """Pass on what the host sends; a client that is to move gets no more than the line it is in."""
@@ -217,6 +272,7 @@
             self._finish()
         else:
             self._over = True
+            self._drop_id()
             self.transport.abortConnection()
 
     def move(self) -> bool:
@@ -241,10 +297,12 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         self.node.clients.discard(self)
+        self.node.door.gone(self)
         self.deadlines.cancel(self._patience)
         if self._over:
             return
         self._over = True
+        self._drop_id()
         link = self.link
         if link is not None:
             if reason.check("twisted.internet.error.ConnectionDone"):
--- a/puffindeck/net/heads.py
+++ b/puffindeck/net/heads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from datetime import timedelta
 from hashlib import blake2b
 
@@ -9,6 +10,7 @@
 
 CRLF = b"\r\n"
 MAX_LINE = 4096 - len(CRLF)
+FIGURE = re.compile(rb"[0-9]{1,13}(\.[0-9]{1,9})?")  # no sign, no exponent, none of Python's underscores
 MOST = 1e12  # no figure is larger: one with no limit to its time says 4294967 ms
 
 
@@ -29,7 +31,7 @@
 class Head:
     """The parts of an OPEN line, as places in it."""
 
-    __slots__ = ("_line", "_wait", "at", "cls", "group", "hint", "key", "left", "returning")
+    __slots__ = ("_line", "_wait", "at", "cls", "group", "hint", "id", "key", "left", "returning")
 
     def __init__(self, line: bytes) -> None:
         words = line.split(b" ")
@@ -37,7 +39,7 @@
             raise HeadError("not OPEN, an id, a key and a list of values")
         if not line.isascii() or any(byte < 32 for byte in line):
             raise HeadError("a byte that is not plain text")
-        self._line = line
+        self._line, self.id = line, words[1]
         self._wait: tuple[int, int] | None = None
         self.key, self.cls, self.at, self.group = number(words[2]), "", "", 0
         self.left: timedelta | None = None
@@ -70,11 +72,8 @@
 
     @staticmethod
     def _figure(name: bytes, value: bytes) -> float:
-        try:
-            figure = float(value)
-        except ValueError:
-            figure = -1.0
-        if not 0 <= figure <= MOST:  # so a NaN is none either
+        figure = float(value) if FIGURE.fullmatch(value) else MOST + 1
+        if figure > MOST:
             raise HeadError(f"{name.decode()} is no figure: {value[:40]!r}")
         return figure
 
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -42,6 +42,9 @@
 
     def ready_for(self, link: Link) -> None: ...
 
+    def link_closed(self, link: Link) -> None:
+        """Its descriptor is free again."""
+
 
 def close(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
     """End a connection with all that was written, or without it if the other side does not take it."""
@@ -124,12 +127,14 @@
             self._connector = reactor.connectTCP(*address, self, timeout=None)
         except Exception as error:  # no descriptor left, or an address of no use: never a crash
             log.warn("host {host}: can't connect: {error}", host=self.host, error=error)
+            self.client.link_closed(self)
             self.finish(Outcome.CONNECT_FAILED)
 
     def buildProtocol(self, addr: object) -> HostLine:
         return HostLine(self)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.client.link_closed(self)
         self.finish(Outcome.CONNECT_FAILED)
 
     def connected(self, line: HostLine) -> None:
@@ -206,6 +211,7 @@
     def lost(self, reason: Any) -> None:
         """The connection is no more."""
         line, self.line = self.line, None
+        self.client.link_closed(self)
         if self.done:
             return
         self._end()
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -19,6 +19,9 @@
 from puffindeck.net.client import ClientLine
 from puffindeck.net.directory import Directory
 from puffindeck.net.discovery import Watch
+from puffindeck.net.door import Door, listen
+from puffindeck.net.host import Link
+from puffindeck.net.logs import Few
 
 if TYPE_CHECKING:
     from puffindeck.quic.front import QuicFront
@@ -26,7 +29,6 @@
 log = Logger("puffindeck")
 
 BACKLOG = 1024  # a storm's connections, all within one turn of the reactor
-SPARE = 64  # descriptors kept from clients: the log, discovery, connections on their way out
 SWEEP = span(500)  # how often open connections are looked over for hosts gone silent
 SILENT = span(4500)  # a client's line without an answer this long: two more lines have gone unanswered since
 COME_BACK = span(150)  # when a client refused by a node without room may come again
@@ -61,6 +63,10 @@
         self.engine = Engine(balancer, settings, self.deadlines, self._follow)
         self.watch = self._watch(told.known.rev) if told.discovery else None
         self.clients: set[ClientLine] = set()
+        self.links: set[Link] = set()  # connections to hosts, those on their way out too
+        self.open_ids: set[bytes] = set()  # of clients' requests, until they are answered or their end
+        self.door = Door(told.sockets)
+        self.few = Few(log, self.deadlines, "client: first line can't be read")
         self.ready = self.stopping = self.ended = False
         self._waiting: list[Callable[[], None]] = []
         self.port: Any = None
@@ -69,7 +75,7 @@
     def start(self) -> None:
         """Listen, and ask for the list; readiness comes with the first answer, be it that there is none."""
         host, port = self.told.listen
-        self.port = self.reactor.listenTCP(port, ClientFactory(self), backlog=BACKLOG, interface=host)
+        self.port = listen(self.reactor, self.told.listen, ClientFactory(self), BACKLOG)
         known = self.told.known
         self.engine.listed(ListKind.CACHED, known.rev, self.directory.entries(known))
         if self.told.quic is not None:
@@ -77,7 +83,8 @@
         if self.watch is None:
             self._ready()
         self.deadlines.after(SWEEP, self._sweep)
-        log.info("node {name}: listening on {host}:{port}", name=self.told.name, host=host, port=port)
+        log.info("node {name}: listening on {host}:{port}, {count} descriptors", name=self.told.name,
+                 host=host, port=port, count=self.door.sockets)
 
     def _start_quic(self, told: Quic) -> None:
         from puffindeck.quic.front import (
@@ -108,6 +115,7 @@
         if later:
             log.warn("reload: these take a restart: {keys}", keys=", ".join(later))
         before, self.told = self.told, told
+        self.door.limit(told.sockets)
         if told.discovery != before.discovery:
             # another service: its list is asked for whole, as its versions may say nothing of the old one's
             if self.watch is not None:
@@ -141,9 +149,10 @@
             self._waiting.append(act)
 
     def crowded(self) -> bool:
-        """Are there too few descriptors left for one more client and its host? Each takes two."""
+        """Are there too few descriptors left for one more client and its host?"""
         flows = len(self.quic.flows) if self.quic is not None else 0
-        return 2 * len(self.clients) + flows + SPARE > self.told.sockets or self.engine.held.full()
+        served = len(self.clients) - len(self.door.waiting) - len(self.door.leaving)
+        return self.door.full(served + len(self.links) + flows) or self.engine.held.full()
 
     def come_back(self) -> timedelta:
         return COME_BACK
