A failed attempt counts against a server only once another serves the request

Hosts say ERR or close on what they can't use or read; that tells nothing of them. A client that gives 1 ms got the same by its time-outs.

Now: ERROR and RESET before UP are remembered with the request and counted when another server serves it; a time-out with less time than set-ups take counts for nothing. Connects that fail, and full-length time-outs, count at once as before. A server that fails everybody's requests is still found by the first that another serves.

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -105,6 +105,7 @@
         self.hash, self.lot = mixed(self.key or event.request), event.key or event.request
         self.deadline, self.load, self.told = deadline, load, event.hint > 0
         self.tried: set[int] = set()
+        self.failed_at: list[Server] = []  # where it was not served though the server spoke: whose fault?
 
 
 class Balancer:
@@ -541,6 +542,9 @@
         server.good_ms = self.now
         self.lately[server.id] = server
         self._setup_took(event.took_ms)
+        for other in request.failed_at:  # what one server serves the others could have served
+            if other is not server:
+                self._failed(other)
         if request.answered:
             self.actions.append(Move(request.id))
 
@@ -556,7 +560,7 @@
         self._uncount(request)
         request.out = False
         if server is not None:
-            self._judge(server, event, begun)
+            self._judge(server, request, event, begun)
         if event.outcome in NEVER_RAN and request.ran_ms == request.sent_ms:
             request.ran = None  # the first that may have run did not: the next may again go anywhere
         if event.final or request.answered:
@@ -608,7 +612,7 @@
 
     # Health: a server is judged by what its attempts and connections come to
 
-    def _judge(self, server: Server, event: Ended, begun: bool) -> None:
+    def _judge(self, server: Server, request: Request, event: Ended, begun: bool) -> None:
         outcome = event.outcome
         if outcome == Outcome.RESET and begun:
             # one dropped connection is a server shedding load; many at once are its end
@@ -624,22 +628,30 @@
             self._suspect(server)
         elif outcome == Outcome.FULL:
             self._cut(server, 0.9)
-        elif outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.ERROR) and not begun:
-            if outcome == Outcome.TIMEOUT:
+        elif outcome in (Outcome.RESET, Outcome.ERROR) and not begun:
+            # a request that no server can read or use must not cost each its count: evidence is that another
+            # serves it
+            request.failed_at.append(server)
+        elif outcome == Outcome.TIMEOUT and not begun:
+            least = min(request.rules.aim_ms, self.setup_ms)
+            if event.took_ms >= least:  # one with less time than set-ups take tells nothing
                 self._setup_took(event.took_ms)
-            server.failed_ms = self.now
-            self.lately[server.id] = server
-            self.lately = {
-                s.id: s for s in self.lately.values() if self.now - max(s.failed_ms, s.good_ms) < 2000.0
-            }
-            failing = sum(s.failed_ms > s.good_ms for s in self.lately.values())
-            well = len(self.lately) - failing
-            if failing < 3 or failing <= well:
-                self._suspect(server)
-            elif self.now - self.window_cut_ms > 300.0:
-                # many servers at once: what they share (a store, the network) is slow or down, not they
-                self.window_cut_ms = self.now
-                self.window = max(2.0, min(self.window, float(self.pending)) * 0.7)
+                self._failed(server)
+
+    def _failed(self, server: Server) -> None:
+        server.failed_ms = self.now
+        self.lately[server.id] = server
+        self.lately = {
+            s.id: s for s in self.lately.values() if self.now - max(s.failed_ms, s.good_ms) < 2000.0
+        }
+        failing = sum(s.failed_ms > s.good_ms for s in self.lately.values())
+        well = len(self.lately) - failing
+        if failing < 3 or failing <= well:
+            self._suspect(server)
+        elif self.now - self.window_cut_ms > 300.0:
+            # many servers at once: what they share (a store, the network) is slow or down, not they
+            self.window_cut_ms = self.now
+            self.window = max(2.0, min(self.window, float(self.pending)) * 0.7)
 
     def _trust(self, server: Server) -> None:
         server.fails = server.connect_fails = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -497,3 +497,40 @@
     }
     assert len(outputs) == 1
     assert "Send" in outputs.pop()
+
+
+def test_what_no_server_can_use_is_held_against_none() -> None:
+    """The id of a request open at another gateway: every server answers ERR, or closes."""
+    gateway = Gateway(servers=4)
+    for outcome in (Outcome.ERROR, Outcome.RESET):
+        for request in range(1, 9):
+            number = request + 100 * outcome
+            gateway.ask(number, key=request)
+            for _ in range(4):
+                gateway.end(number, outcome)
+                gateway.wait(200)
+    assert not gateway.balancer.failing
+
+
+def test_a_server_that_fails_what_others_serve_is_left_out() -> None:
+    gateway = Gateway(servers=4)
+    first = gateway.ask(1, key=7)
+    assert first is not None
+    gateway.end(1, Outcome.RESET)
+    assert not gateway.balancer.failing
+    assert gateway.at[1] != first
+    gateway.begin(1)
+    assert list(gateway.balancer.failing) == [first]
+
+
+def test_a_time_out_shorter_than_set_ups_take_tells_nothing() -> None:
+    """Clients may give a millisecond; that must not cost servers their good name."""
+    gateway = Gateway(servers=4)
+    for request in range(1, 40):
+        gateway.connect(request)
+    server = gateway.ask(50, key=7)
+    assert server is not None
+    gateway.do(Ended(50, Outcome.TIMEOUT, server, 0, False, 1.0))
+    assert not gateway.balancer.failing
+    gateway.end(50, Outcome.TIMEOUT)
+    assert len(gateway.balancer.failing) == 1
