A group without a place reaches one server more each second; a home zone has a bound

And 43 of 53 connections of a gateway stood on the one server of its zone: in the zone's pass the bound was over the zone's own mean, which that server is.

Now: a group that has had no place for 1 s reaches one server more, and again each second (forgotten 10 s after its last refusal); in the zone's pass the mean is at most this gateway's load times the gateways over the whole fleet.

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -38,6 +38,7 @@
 RETRY_MS = 40.0  # how long a request is held before another walk when no server may take it
 SUSPECT_MS, SUSPECT_MAX_MS = 1000.0, 8000.0  # how long a server that failed is skipped at first, and at most
 STRAINED = 0.5  # of the shortest message aim: a server whose messages take longer has too much
+WIDEN_MS = 1000.0  # how long a group is without a place until its reach grows by a server
 CUT_MS = 900.0  # a server's ceiling is cut this often at most: what is piled up takes time to drain
 REGAIN = 1.02  # a ceiling's growth in each second in which nothing says that the server is strained
 MASK = (1 << 64) - 1
@@ -138,6 +139,7 @@
         self.mean_load = 1.0
         self.counts: dict[int, float] = {}  # requests seen by group, else key, fading; and all of them
         self.seen = 0.0
+        self.short: dict[int, tuple[float, float, int]] = {}  # groups without a place: since, last, reach
         self.tenants: dict[int, int] = {}
         self.setup_ms, self.setup_dev = 0.0, 0.0
         self.pending = 0  # attempts out whose connections do not stand yet, and how many there may be
@@ -379,15 +381,20 @@
         if lot(request.id, home) < doubt:
             zones = (None,)
         passes = []
+        wider = self.short[request.group][2] if request.group in self.short else 0
+        # a zone with few servers may be given no more than the fleet's mean, were gateways to hold alike
+        load, size = self._mean(None, doubted)
+        fair = (load + request.load) * self.settings.gateways / max(1e-9, size)
         for zone in zones:
             load, size = self._mean(zone, doubted)
             # A strained fleet must not spread each group over all servers, which would all pay for it:
             # a group's load has its place within reach or, for now, none.
             reach = WALK if not request.group else 2 + int(share * len(self.ready) * size / (
-                self.bound * max(1e-9, self.zone_sizes[None])))
+                self.bound * max(1e-9, self.zone_sizes[None]))) + wider
             near = self._clockwise(request, zone, skip | request.tried, reach)
             near = near or self._clockwise(request, zone, skip, reach)
-            passes.append((near, (load + request.load) / max(1e-9, size), max(1e-9, size)))
+            mean = (load + request.load) / max(1e-9, size)
+            passes.append((near, mean if zone is None else min(mean, fair), max(1e-9, size)))
         near = [server for servers, _, _ in passes for server in servers]
         if not near or request.mid_flow:  # the ring home is the likeliest holder
             return (near[0] if near else None), True
@@ -406,7 +413,19 @@
                     elif server.id in fit and server.load < stretch * max(bound, floor):
                         return server, stretch == 1.0
         # all at their ceilings: more would serve nobody; else the walk's start is kept, as the design says
-        return next((s for s in near if s.id in fit), None), False
+        found = next((s for s in near if s.id in fit), None)
+        if found is None and request.group:
+            self._short(request.group)
+        return found, False
+
+    def _short(self, group: int) -> None:
+        """A group has no place. If that lasts, one more server is worth what it pays for the group."""
+        since, last, wider = self.short.get(group, (self.now, self.now, 0))
+        if self.now - last > 2 * WIDEN_MS:
+            since = self.now
+        elif self.now - since > WIDEN_MS:
+            since, wider = self.now, wider + 1
+        self.short[group] = since, self.now, wider
 
     def _bears(self, server: Server, request: Request) -> bool:
         """Does the request, with its group's cost where that is new there, fit under the server's ceiling?"""
@@ -703,6 +722,7 @@
         fade = math.exp(-1000.0 * passed / MEMORY_MS)
         self.seen *= fade
         self.counts = {key: count * fade for key, count in self.counts.items() if count > 0.1}
+        self.short = {g: state for g, state in self.short.items() if self.now - state[1] < 10 * WIDEN_MS}
         if not self.all_warm:
             self._measure()
         calm = self.all_warm
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -534,3 +534,35 @@
     assert not gateway.balancer.failing
     gateway.end(50, Outcome.TIMEOUT)
     assert len(gateway.balancer.failing) == 1
+
+
+def test_a_group_without_a_place_reaches_one_server_more_before_long() -> None:
+    """Its servers stay strained, others are not: seconds of refusals cost more than the group does."""
+    gateway = Gateway(servers=6)
+    for request in range(200, 280):
+        gateway.connect(request, key=request)
+    gateway.at.clear()
+    for request in range(1, 13):
+        gateway.connect(request, group=9)
+    strained = set(gateway.at.values())
+    for server in strained:
+        gateway.delay(server, 400)
+    asked_at, request = gateway.now, 100
+    while gateway.ask(request, group=9) in strained | {None} and gateway.now < asked_at + 5000:
+        gateway.wait(250)
+        for server in strained:
+            if gateway.balancer.servers[server].conns:
+                gateway.delay(server, 400)
+        request += 1
+    assert gateway.at.get(request) not in strained | {None}
+    assert 1000 <= gateway.now - asked_at <= 1500
+
+
+def test_a_small_home_zone_is_not_filled_beyond_the_fleets_mean() -> None:
+    """One server at home, four elsewhere: the other gateway's clients can't fill those four alone."""
+    gateway = Gateway(replace(SETTINGS, cross_zone_price=0.01), servers=0)
+    gateway.do(listed(entry(1, zone=0), *(entry(i, zone=1) for i in range(2, 6))))
+    for request in range(1, 61):
+        gateway.connect(request, key=request)
+    home = sum(server == 1 for server in gateway.at.values())
+    assert 15 <= home <= 40  # 60 of 120 on one of five would be two and a half times the mean
