A stopping node serves on, and sends its clients away as late as it may

Seen on reload (, a trace of both nodes): n0 is told to stop at 13.7 s, has moved all by 15.7 and is back at 19.0; n1 is told at 16.7 and moves all until 18.8, when nobody is there to take them. Exiting early brings no node back sooner: the restart waits for the time of SIGKILL.

At fault: Node.stop() began its MOVEs at SIGTERM, and ClientLine refused all requests from then on. Now requests are taken as before until the port is shut at 0.45 s, and MOVEs go out from 1.8 to 3.1 s after SIGTERM; the end stays at 3.3 s (SIGKILL comes at 3.7 s or later).

--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -106,7 +106,7 @@
             self._ticket = self.engine.opened(self, asked, self._server)
             self.request = self._ticket.request
             self._try_at()
-        elif self.node.stopping or self.node.crowded():
+        elif self.node.shut or self.node.crowded():
             self.refuse(self.node.come_back())
         else:
             self.request = self.engine.request(self, asked)
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -32,8 +32,10 @@
 SWEEP = span(500)  # how often open connections are looked over for hosts gone silent
 SILENT = span(4500)  # a client's line without an answer this long: two more lines have gone unanswered since
 COME_BACK = span(150)  # when a client refused by a node without room may come again
-ACCEPT = span(450)  # how long a stopping node still takes connections, to send them elsewhere
-SEND_AWAY = span(2000)  # over how long it spreads its MOVEs, so that they don't come back in one storm
+ACCEPT = span(450)  # how long a stopping node still takes connections
+# A connection is served until it is sent away, and other nodes may be stopping too or not be back yet: so its
+# MOVEs go out as late as leaves time for the end, over a while, so that they don't come back in one storm.
+SEND_FROM, SEND_AWAY = span(1800), span(1300)
 STOP = span(3300)  # by when it has ended
 
 
@@ -67,7 +69,7 @@
         self.open_ids: set[bytes] = set()  # of clients' requests, until they are answered or their end
         self.door = Door(told.sockets)
         self.few = Few(log, self.deadlines, "client: first line can't be read")
-        self.ready = self.stopping = self.ended = False
+        self.ready = self.stopping = self.shut = self.ended = False
         self._waiting: list[Callable[[], None]] = []
         self.port: Any = None
         self.quic: QuicFront | None = None
@@ -173,13 +175,21 @@
         if self.stopping:
             return
         self.stopping = True
+        log.info("node {name}: stopping, {count} to move", name=self.told.name,
+                 count=len(self.engine.standing()))
+        self.deadlines.after(ACCEPT, self._shut)
+        self.deadlines.after(SEND_FROM, self._send_away)
+        self._stop_at = self.deadlines.clock.now() + STOP
+        self.deadlines.after(ACCEPT + SWEEP, self._stopped)
+
+    def _shut(self) -> None:
+        self.shut = True
+        self.port.stopListening()
+
+    def _send_away(self) -> None:
         standing = self.engine.standing()
-        log.info("node {name}: stopping, {count} to move", name=self.told.name, count=len(standing))
         for i, number in enumerate(standing):
             self.deadlines.after(SEND_AWAY * i / len(standing), self.engine.send_away, number)
-        self.deadlines.after(ACCEPT, self.port.stopListening)
-        self._stop_at = self.deadlines.clock.now() + STOP
-        self.deadlines.after(ACCEPT + SWEEP, self._stopped)
 
     def _stopped(self) -> None:
         """Once nothing is left, or it is time."""
@@ -189,7 +199,7 @@
                 client.close_out()
         else:
             for number in self.engine.standing():  # those that came up meanwhile
-                if self.deadlines.clock.now() >= self._stop_at - STOP + SEND_AWAY:
+                if self.deadlines.clock.now() >= self._stop_at - STOP + SEND_FROM + SEND_AWAY:
                     self.engine.send_away(number)
         if not self.clients or late:
             self.ended = True
