--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -41,6 +41,7 @@
 WIDEN_MS = 1000.0  # how long a group is without a place until its reach grows by a server
 CUT_MS = 900.0  # a server's ceiling is cut this often at most: what is piled up takes time to drain
 REGAIN = 1.02  # a ceiling's growth in each second in which nothing says that the server is strained
+NEW_MS, SOON = 2000.0, 0.2  # how long a connection is new; of a tick: when a server without many gets relief
 MASK = (1 << 64) - 1
 INF = float("inf")
 POINTS = Struct(f"<{VIRTUAL_NODES}I")
@@ -705,8 +706,11 @@
             server.cut_ms = self.now
             server.ceiling = max(0.5 * self.mean_load, min(server.ceiling, server.load) * part)
             self.live[server.id] = server
-            if self.tick_at > self.now + TICK_MS:
-                self._tick_in(TICK_MS * self.random.random())
+            # what many newcomers bring at once passes by itself; what stands does not
+            new = sum(self.now - r.sent_ms < NEW_MS for r in server.conns.values() if r.sent_ms)
+            soon = SOON if 5 * new <= len(server.conns) else 1.0
+            if self.tick_at > self.now + TICK_MS * soon:
+                self._tick_in(TICK_MS * soon * self.random.random())
 
     # Once a second
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -566,3 +566,14 @@
         gateway.connect(request, key=request)
     home = sum(server == 1 for server in gateway.at.values())
     assert 15 <= home <= 40  # 60 of 120 on one of five would be two and a half times the mean
+
+
+def test_relief_comes_soon_where_few_connections_are_new() -> None:
+    """What many newcomers bring at once passes by itself; a standing load stays until it is moved."""
+    for seed in range(1, 6):
+        gateway = Gateway(servers=3, seed=seed)
+        for request in range(1, 31):
+            gateway.connect(request, key=request)
+        gateway.wait(5000)
+        gateway.delay(gateway.at[1], 400)
+        assert [a for a in gateway.wait(250) if isinstance(a, Move)]
