Settings of the wrong kind name their key instead of failing otherwise

A probe that put 13 odd values at each key of examples/node.json met TypeError, AttributeError, KeyError and ValueError at classes, repeat, familyInfo and messageAimMs: Node.reload() takes ConfigError alone for a bad file, and the start would end with a traceback. Now none is left, and limits.sockets must be 64 or more.

--- a/puffindeck/config.py
+++ b/puffindeck/config.py
@@ -12,6 +12,7 @@
 from puffindeck.interface import ClassSettings, Effect, Scope, Settings
 
 EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
+LEAST_SOCKETS = 64  # fewer would not do for discovery, the door and one client
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
 
 
@@ -41,6 +42,24 @@
     return float(value)
 
 
+def _table(table: Any, key: str) -> dict[str, Any]:
+    """A table that may be left out."""
+    inner = (table.get(key) if isinstance(table, dict) else None) or {}
+    if not isinstance(inner, dict):
+        raise ConfigError(f"settings: {key} must be a table")
+    return inner
+
+
+def _figures(table: dict[str, Any], key: str) -> list[float]:
+    """A list of numbers that may be left out; one that is null has no limit."""
+    figures = table.get(key) or []
+    if not isinstance(figures, list) or not all(
+        item is None or (isinstance(item, (int, float)) and 0 <= item < float("inf")) for item in figures
+    ):
+        raise ConfigError(f"settings: familyInfo.{key} must be a list of numbers of 0 or more")
+    return [float("inf") if item is None else float(item) for item in figures]
+
+
 def _names(table: dict[str, Any], key: str) -> tuple[str, ...]:
     names = table.get(key) or []
     if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
@@ -48,9 +67,9 @@
     return tuple(names)
 
 
-def _class(table: Any, index: int, aims: list[Any]) -> ClassSettings:
+def _class(table: Any, index: int, aims: list[float]) -> ClassSettings:
     at = f"settings: classes[{index}]"
-    effect, scope = _need(table, "repeat", at), table.get("group", "all")
+    effect, scope = str(_need(table, "repeat", at)), str(table.get("group", "all"))
     if effect not in EFFECTS or scope not in SCOPES:
         raise ConfigError(f"{at}.repeat or .group is not known")
     return ClassSettings(
@@ -60,7 +79,7 @@
         effect=EFFECTS[effect],
         scope=SCOPES[scope],
         window_ms=_number(table, "keyTtlMs", default=0.0, where=at),
-        message_aim_ms=float(aims[index]) if index < len(aims) else 0.0,
+        message_aim_ms=aims[index] if index < len(aims) else 0.0,
         name=str(table.get("name", "")),
     )
 
@@ -74,11 +93,14 @@
 
 def settings_of(table: Any) -> Settings:
     """The settings, as the simulator's first message and a node's file have them."""
-    family = (table.get("familyInfo") or {}) if isinstance(table, dict) else {}
-    limits, prices = _need(table, "limits"), table.get("prices") or {}
-    aims = family.get("messageAimMs") or []
+    family, prices = _table(table, "familyInfo"), _table(table, "prices")
+    _need(table, "limits")
+    limits, classes = _table(table, "limits"), _need(table, "classes")
+    if not isinstance(classes, list) or not classes:
+        raise ConfigError("settings: classes must be a list of at least one")
+    aims = _figures(family, "messageAimMs")
     return Settings(
-        classes=tuple(_class(item, i, aims) for i, item in enumerate(_need(table, "classes"))),
+        classes=tuple(_class(item, i, aims) for i, item in enumerate(classes)),
         gateways=int(_number(table, "peersTotal", 1)),
         zone=int(_number(table, "locality", default=0.0)),
         max_attempts=int(_number(table, "limits.maxAttempts", 1)),
@@ -96,9 +118,7 @@
         weighted=table.get("weights", "silent") in ("nominal", "rough"),
         cross_zone_price=_number({"prices": prices}, "prices.crossZone", default=0.0),
         over_share_worth=_number(table, "overShareWorth", default=1.0),
-        tenant_connections=tuple(
-            float("inf") if q is None else float(q) for q in family.get("tenantQuotaConnections") or []
-        ),
+        tenant_connections=tuple(_figures(family, "tenantQuotaConnections")),
         tells_load=bool(family.get("tellsLoad", False)),
         tells_delay=bool(family.get("tellsDelay", False)),
         bound=_bound(table),
@@ -283,6 +303,8 @@
         seed = int(file.seed, 16)
     except ValueError:
         raise ConfigError(f"seed must be a hexadecimal number, not {file.seed!r}") from None
+    if file.limits.sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets must be {LEAST_SOCKETS} or more")
     settings = settings_of(file.settings)
     discovery = environment.get("EDGE_DISCOVERY") or file.discovery
     if not discovery and not (operators and file.known):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -148,3 +148,11 @@
     lines = [line for line in (ROOT / "puffindeck/choice.py").read_text().splitlines() if line.strip()]
     assert len(lines) <= 740
     assert max(map(len, lines)) <= 110
+
+
+@pytest.mark.parametrize("key", ["classes", "familyInfo", "limits", "prices", "zones"])
+@pytest.mark.parametrize("odd", [5, "x", [5], True])
+def test_settings_of_the_wrong_kind_name_the_key(key: str, odd: object) -> None:
+    """A reload that reads such a file must leave the old settings in force, not fail otherwise."""
+    with pytest.raises(config.ConfigError, match=key):
+        config.settings(json.dumps({**TABLE, key: odd}).encode())
