--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -577,3 +577,16 @@
         gateway.wait(5000)
         gateway.delay(gateway.at[1], 400)
         assert [a for a in gateway.wait(250) if isinstance(a, Move)]
+
+
+def test_a_server_is_held_back_before_its_messages_are_late() -> None:
+    """Delays are told from a third of the aim on; at half of it the pile is late before it is moved."""
+    gateway = Gateway(servers=3)
+    for request in range(1, 31):
+        gateway.connect(request, key=request)
+    server = gateway.balancer.servers[gateway.at[1]]
+    gateway.delay(server.id, 0.4 * gateway.balancer.message_aim)
+    assert server.ceiling < server.load
+    other = gateway.balancer.servers[next(s for s in (1, 2, 3) if s != server.id)]
+    gateway.delay(other.id, 0.3 * gateway.balancer.message_aim)
+    assert other.ceiling == float("inf")
