Staff's calls on a second address: ready, hosts out and back, a lame duck

Built: net/operator.py (twisted.web), markers under TMPDIR (net/records.py), Detached and Attached decided in choice.py, one path for leaving (net/leaving.py) for SIGTERM and a lame duck; PING is told BUSY by a node that leaves, on open connections too.

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -19,9 +19,9 @@
 from typing import Any
 
 from puffindeck.interface import (
-    NEVER_RAN, Action, Began, Cancel, ClassSettings, ClientLeft, DelayTold, Effect, Ended, Entry, Event, Fail,
-    Follow, Listed, ListKind, LoadTold, Log, Move, Opened, Outcome, Refuse, Requested, Scope, Send, Settings,
-    State, Wake, Woken,
+    NEVER_RAN, Action, Attached, Began, Cancel, ClassSettings, ClientLeft, DelayTold, Detached, Effect, Ended,
+    Entry, Event, Fail, Follow, Listed, ListKind, LoadTold, Log, Move, Opened, Outcome, Refuse, Requested,
+    Scope, Send, Settings, State, Wake, Woken,
 )
 
 BOUND = 1.25  # c of the design: a server takes up to this multiple of the mean; the paper's example
@@ -41,6 +41,8 @@
 WIDEN_MS = 1000.0  # how long a group is without a place until its reach grows by a server
 CUT_MS = 900.0  # a server's ceiling is cut this often at most: what is piled up takes time to drain
 REGAIN = 1.02  # a ceiling's growth in each second in which nothing says that the server is strained
+OUT_MS = 1200.0  # over how long the connections of a server that is taken out are sent away
+BACK_MS = 5000.0  # how long one that is put back, and has no connection, goes before the ring
 NEW_MS, SOON = 2000.0, 0.2  # how long a connection is new; of a tick: when a server without many gets relief
 MASK = (1 << 64) - 1
 INF = float("inf")
@@ -79,6 +81,7 @@
     suspect_until = reset_ms = 0.0
     ceiling, cut_ms = INF, -INF  # the most load it has been seen to bear; when last cut
     delay, delay_ms, failed_ms, good_ms = 0.0, -INF, -INF, -INF
+    back_ms = -INF  # when it was last put back
     push = push_ms = 0.0  # what it was sent while cold, fading over the time in which it may fall
 
     def __init__(self, server: int) -> None:
@@ -134,6 +137,8 @@
         self.live: dict[int, Server] = {}
         self.failing: dict[int, Server] = {}
         self.lately: dict[int, Server] = {}
+        self.detached: set[int] = set()  # taken out by staff; and those put back and not in use again yet
+        self.returned: dict[int, Server] = {}
         self.tick_ms, self.tick_at = 0.0, INF
         self.requests: dict[int, Request] = {}
         self.class_loads: list[float] = [0.0] * len(settings.classes)  # mean load as told; 0 = not told yet
@@ -150,7 +155,8 @@
         self.on: dict[type[Any], Callable[[Any], None]] = {
             Listed: self._listed, Requested: self._requested, Opened: self._opened, Began: self._began,
             LoadTold: self._load_told, DelayTold: self._delay_told, Ended: self._ended,
-            ClientLeft: self._client_left, Woken: self._woken,
+            ClientLeft: self._client_left, Woken: self._woken, Detached: self._detached,
+            Attached: self._attached,
         }
 
     def handle(self, now_ms: float, events: Iterable[Event]) -> list[Action]:
@@ -204,9 +210,16 @@
                 if server.id not in named and server.state != State.GONE:
                     server.state = State.GONE
         for gone in [s for s in self.servers.values() if s.state == State.GONE and not s.conns]:
-            for known in (self.servers, self.live, self.failing, self.lately):
+            for known in (self.servers, self.live, self.failing, self.lately, self.returned):
                 known.pop(gone.id, None)
-        before, self.ready = self.ready, {s.id: s for s in self.servers.values() if s.state == State.READY}
+        self._arrange()
+
+    def _arrange(self) -> None:
+        """The ring of those that are ready and not taken out."""
+        before = self.ready
+        self.ready = {
+            s.id: s for s in self.servers.values() if s.state == State.READY and s.id not in self.detached
+        }
         if before.keys() - self.ready.keys():
             self.owners = {point: s for point, s in self.owners.items() if s in self.ready}
             self.ring = [point for point in self.ring if point in self.owners]
@@ -219,13 +232,42 @@
 
     def _entry(self, entry: Entry) -> None:
         server = self._server(entry.server)
-        if entry.started_ms > server.started:  # a new process: what the old one did is no guide
-            self._trust(server)
-            server.ceiling = INF
-            if self.credit > 0:
-                self.credit = -self.random.random()
+        if entry.started_ms > server.started:
+            self._renewed(server)
         server.zone, server.kind, server.cell = entry.zone, entry.kind, entry.cell
-        server.state, server.weight, server.started = entry.state, entry.weight, entry.started_ms
+        server.state, server.weight = entry.state, entry.weight
+        server.started = max(entry.started_ms, server.back_ms)
+
+    def _renewed(self, server: Server) -> None:
+        """A new process: what the old one did is no guide."""
+        self._trust(server)
+        server.ceiling = INF
+        if self.credit > 0:
+            self.credit = -self.random.random()
+
+    # What staff take out and put back
+
+    def _detached(self, event: Detached) -> None:
+        if event.server not in self.detached:
+            self.detached.add(event.server)
+            self.returned.pop(event.server, None)
+            self._arrange()
+            leaving = list(self._server(event.server).conns.values())
+            for i, request in enumerate(leaving):  # before it is restarted, and not as one storm
+                self._at(self.now + OUT_MS * i / len(leaving), self._leave_out, request)
+
+    def _leave_out(self, request: Request) -> None:
+        if request.server is not None and request.server.id in self.detached:
+            self._send_off(request)
+
+    def _attached(self, event: Attached) -> None:
+        """Cold since now at the latest: the list may not tell its start for seconds."""
+        if event.server in self.detached:
+            self.detached.discard(event.server)
+            server = self.returned[event.server] = self._server(event.server)
+            server.back_ms = server.started = self.now
+            self._renewed(server)
+            self._arrange()
 
     def _server(self, server: int) -> Server:
         known = self.servers.get(server)
@@ -314,7 +356,7 @@
 
     def _eligible(self, request: Request, server: Server) -> bool:
         """May this server be sent this request at all? The rules on sends are kept here."""
-        if server.state != State.READY:  # rule 3
+        if server.id not in self.ready:  # rule 3
             return False
         ran = request.ran
         if ran is not None:  # rule 2
@@ -350,7 +392,7 @@
         """This gateway's load and the size of the ready servers in a zone (None: everywhere)."""
         load, size = 0.0, self.zone_sizes[zone]
         for s in self.live.values():
-            if s.state == State.READY and zone in (None, s.zone) and s.id not in doubted:
+            if s.id in self.ready and zone in (None, s.zone) and s.id not in doubted:
                 load += s.load
         for s in doubted.values():
             if zone in (None, s.zone):
@@ -370,10 +412,14 @@
     def _walk(self, request: Request) -> tuple[Server | None, bool]:
         """The server for a request, and whether it was found within the bound."""
         now = self.now
-        doubted = {s.id: s for s in self.failing.values() if s.state == State.READY and s.doubted(now)}
+        doubted = {s.id: s for s in self.failing.values() if s.id in self.ready and s.doubted(now)}
         if 2 * len(doubted) > len(self.ready):  # never leave out most of the fleet
             doubted = {}
         skip = set(doubted)
+        for back in self.returned.values():  # its keys have gone elsewhere: one shows that it serves again
+            if now - back.back_ms < BACK_MS and not back.conns and not back.doubted(now) \
+                    and self._eligible(request, back):
+                return back, True
         # near-empty counts (a restart, a storm) must not scatter keys: a group's own cost is in the floor
         floor = (FLOOR + (GROUP_COST if request.group else 0.0)) * self.mean_load
         home, share = self.settings.zone, self._share(request)
@@ -561,12 +607,15 @@
         self._trust(server)
         server.good_ms = self.now
         self.lately[server.id] = server
+        self.returned.pop(server.id, None)
         self._setup_took(event.took_ms)
         for other in request.failed_at:  # what one server serves the others could have served
             if other is not server:
                 self._failed(other)
         if request.answered:
             self.actions.append(Move(request.id))
+        else:
+            self._leave_out(request)
 
     def _setup_took(self, took: float) -> None:
         self.setup_dev += (abs(took - self.setup_ms) - self.setup_dev) * 0.1
@@ -765,6 +814,10 @@
                 if self.random.random() * spared > goal:
                     break  # with few connections each, gateways that all round up would empty the server
                 goal -= spared
-                request.answered = True
-                self._uncount(request)  # on its way out: it must not be shed a second time
-                self.actions.append(Move(request.id))
+                self._send_off(request)
+
+    def _send_off(self, request: Request) -> None:
+        if request.begun and not request.answered:
+            request.answered = True
+            self._uncount(request)  # on its way out: it must not be shed a second time
+            self.actions.append(Move(request.id))
--- a/puffindeck/config.py
+++ b/puffindeck/config.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
+from tempfile import gettempdir
 from typing import Any
 
 import msgspec
@@ -192,6 +193,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    operator: str = ""
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
     known: Members | None = None
@@ -225,6 +227,8 @@
     known: Members
     settings: Settings
     quic: Quic | None = None
+    operator: tuple[str, int] | None = None  # None: no second address
+    folder: Path = Path(gettempdir())  # where records are kept that outlive the process
     file: NodeFile | None = None  # as it was read: what a reload compares with
 
 
@@ -309,8 +313,10 @@
     discovery = environment.get("EDGE_DISCOVERY") or file.discovery
     if not discovery and not (operators and file.known):
         raise ConfigError("discovery is not set, and an operator's file has no list in known")
+    operator = environment.get("EDGE_OPERATOR") or file.operator
+    name = environment.get("EDGE_NAME") or file.name or "node"
     return Node(
-        name=environment.get("EDGE_NAME") or file.name or "node",
+        name=name,
         listen=address(environment.get("EDGE_LISTEN") or file.listen, "EDGE_LISTEN"),
         discovery=address(discovery, "EDGE_DISCOVERY") if discovery else None,
         seed=seed,
@@ -318,6 +324,8 @@
         known=file.known or Members(0, True, []),
         settings=settings,
         quic=quic(file.quic, settings) if file.quic else None,
+        operator=address(operator, "EDGE_OPERATOR") if operator else None,
+        folder=Path(environment.get("TMPDIR") or gettempdir()) / f"puffindeck-{name.encode().hex()}",
         file=file,
     )
 
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -20,10 +20,12 @@
 from puffindeck.core.slots import Slots
 from puffindeck.interface import (
     Action,
+    Attached,
     Began,
     Cancel,
     ClientLeft,
     DelayTold,
+    Detached,
     Ended,
     Entry,
     Event,
@@ -123,6 +125,7 @@
         self._events: deque[Event] = deque()
         self._busy = False
         self._unfit: dict[int, timedelta] = {}  # servers that drain or are gone, and since when that is known
+        self._detached: dict[int, timedelta] = {}  # those that staff have taken out, and since when
         self._listed: set[int] = set()
         self._grace = max(ZERO, span(settings.drain_grace_ms) - DRAIN_MARGIN)
         self._do: dict[type[Any], Callable[[Any], None]] = {
@@ -177,8 +180,20 @@
 
     def may_reach(self, server: int) -> bool:
         """Rule 3 again, right before an attempt's first byte: its connect may have taken its time."""
-        since = self._unfit.get(server)
-        return since is None or self.clock.now() - since < self._grace
+        now = self.clock.now()
+        return all(now - table.get(server, now) < self._grace or server not in table
+                   for table in (self._unfit, self._detached))
+
+    # From the front: what staff say
+
+    def detach(self, server: int) -> None:
+        """Nothing new to this server until it is attached, whatever the list says."""
+        self._detached.setdefault(server, self.clock.now())
+        self.tell(Detached(server))
+
+    def attach(self, server: int) -> None:
+        self._detached.pop(server, None)
+        self.tell(Attached(server))
 
     # From the front: requests
 
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -211,7 +211,24 @@
     token: int
 
 
-Event = Listed | Requested | Opened | Began | LoadTold | DelayTold | Ended | ClientLeft | Woken
+@dataclass(slots=True)
+class Detached:
+    """Staff take a server out: nothing new goes there, whatever the list says, and what stands leaves."""
+
+    server: int
+
+
+@dataclass(slots=True)
+class Attached:
+    """Staff put a server back. It was restarted meanwhile, and is cold."""
+
+    server: int
+
+
+Event = (
+    Listed | Requested | Opened | Began | LoadTold | DelayTold | Ended | ClientLeft | Woken | Detached
+    | Attached
+)
 
 
 # Actions
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -120,9 +120,9 @@
         self.node.few.warn("client: first line can't be read: {why}", why=why)
         self._answer(b"ERR")
 
-    def pong(self) -> None:
+    def pong(self, ready: bool) -> None:
         if not self._over:
-            self.sendLine(b"PONG")
+            self.sendLine(b"PONG" if ready else b"BUSY")
             self.node.door.comes(self)  # like any other from now on
             self._patience = self.deadlines.after(FIRST_LINE, self._idle)
 
@@ -321,11 +321,14 @@
         self.move()
         self.engine.ended(link.ticket, Outcome.RESET)
 
-    def close_out(self) -> None:
-        """The node ends: whatever is left is answered or moved now."""
+    def close_out(self, all_go: bool) -> None:
+        """Time is up: whatever is left is answered or moved now, and who has asked nothing goes if all do."""
+        if self._over:
+            return
         if self.link is not None:
             self._say_move()
         elif self._head is not None:
+            self.engine.client_left(self.request)
             self.refuse(self.node.come_back())
-        else:
+        elif all_go:
             self._finish()
--- a/puffindeck/net/directory.py
+++ b/puffindeck/net/directory.py
@@ -32,6 +32,10 @@
                 return server
         raise OverflowError("no number is left")  # pragma: no cover
 
+    def known(self, uid: str) -> bool:
+        """Has the list ever named it?"""
+        return self.number(uid) in self.addresses
+
     def name(self, server: int) -> str:
         return self._names.get(server, str(server))
 
--- a/puffindeck/net/door.py
+++ b/puffindeck/net/door.py
@@ -41,9 +41,10 @@
 class Door:
     """The clients at the door, oldest first, and the descriptors in use."""
 
-    def __init__(self, sockets: int) -> None:
+    def __init__(self, sockets: int, reserved: int = 0) -> None:
         self.waiting: dict[ClientLine, None] = {}  # accepted, with no whole line yet
         self.leaving: dict[ClientLine, None] = {}  # answered
+        self._reserved = SPARE + reserved
         self.limit(sockets)
 
     def limit(self, sockets: int) -> None:
@@ -54,7 +55,7 @@
 
     def full(self, used: int) -> bool:
         """Is there no room to serve one more, with this many in use by clients that are served and hosts?"""
-        return used + self.most + SPARE > self.sockets
+        return used + self.most + self._reserved > self.sockets
 
     def comes(self, client: ClientLine) -> None:
         self.waiting[client] = None
--- /dev/null
+++ b/puffindeck/net/leaving.py
@@ -0,0 +1,71 @@
+"""How a node's clients leave it: one path for SIGTERM, a lame duck and the old process of an upgrade."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TYPE_CHECKING, NamedTuple
+
+from puffindeck.core.clock import span
+from puffindeck.core.deadlines import Deadline
+
+if TYPE_CHECKING:
+    from puffindeck.net.node import Node
+
+LOOK = span(50)  # how often it is looked for late-comers
+
+
+class Pace(NamedTuple):
+    """When what is done, from the beginning on."""
+
+    accept: timedelta  # so long clients are served as before: the front still sends them
+    send_from: timedelta  # MOVEs go out from here on,
+    send_over: timedelta  # spread over this long: all at once they would come back as a storm
+    end: timedelta  # by when all is answered, and nothing is open
+
+
+# A connection is served until it is sent away, and other nodes may be stopping too or not be back yet: so at
+# a restart MOVEs go out as late as leaves time for the end. A lame duck's front has the other nodes.
+RESTART = Pace(accept=span(450), send_from=span(1800), send_over=span(1300), end=span(3300))
+LAME = Pace(accept=span(600), send_from=span(700), send_over=span(1500), end=span(3000))
+
+
+class Leaving:
+    """Sends every client away at a pace. `done` is called once nobody is left, or it is time."""
+
+    def __init__(self, node: Node, pace: Pace, done: Callable[[], None] | None) -> None:
+        self._node, self._pace, self._done = node, pace, done
+        self._deadlines, self._engine = node.deadlines, node.engine
+        self.ends = done is not None  # else the node stays, a lame duck
+        self._start = self._deadlines.clock.now()
+        after = self._deadlines.after
+        self._pending: list[Deadline] = [
+            after(pace.accept, node.shut_door, self.ends),
+            after(pace.send_from, self._send_away),
+            after(pace.accept + LOOK, self._look),
+        ]
+
+    def cancel(self) -> None:
+        """Nothing more of it is done."""
+        for deadline in self._pending:
+            self._deadlines.cancel(deadline)
+
+    def _send_away(self) -> None:
+        standing = self._engine.standing()
+        for i, number in enumerate(standing):
+            wait = self._pace.send_over * i / len(standing)
+            self._pending.append(self._deadlines.after(wait, self._engine.send_away, number))
+
+    def _look(self) -> None:
+        pace, passed = self._pace, self._deadlines.clock.now() - self._start
+        late = passed >= pace.end
+        if late:
+            for client in list(self._node.clients):
+                client.close_out(self.ends)
+        elif passed >= pace.send_from + pace.send_over:
+            for number in self._engine.standing():  # those that came up meanwhile
+                self._engine.send_away(number)
+        if self._done is not None and (late or not self._node.clients):
+            self._done()
+        elif not late:
+            self._pending.append(self._deadlines.after(LOOK, self._look))
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -21,7 +21,10 @@
 from puffindeck.net.discovery import Watch
 from puffindeck.net.door import Door, listen
 from puffindeck.net.host import Link
+from puffindeck.net.leaving import LAME, RESTART, Leaving
 from puffindeck.net.logs import Few
+from puffindeck.net.operator import CALLERS, Operator
+from puffindeck.net.records import Records
 
 if TYPE_CHECKING:
     from puffindeck.quic.front import QuicFront
@@ -32,11 +35,7 @@
 SWEEP = span(500)  # how often open connections are looked over for hosts gone silent
 SILENT = span(4500)  # a client's line without an answer this long: two more lines have gone unanswered since
 COME_BACK = span(150)  # when a client refused by a node without room may come again
-ACCEPT = span(450)  # how long a stopping node still takes connections
-# A connection is served until it is sent away, and other nodes may be stopping too or not be back yet: so its
-# MOVEs go out as late as leaves time for the end, over a while, so that they don't come back in one storm.
-SEND_FROM, SEND_AWAY = span(1800), span(1300)
-STOP = span(3300)  # by when it has ended
+POLL = span(100)  # how often it is looked for what staff told another process
 
 
 class ClientFactory(Factory):
@@ -67,11 +66,16 @@
         self.clients: set[ClientLine] = set()
         self.links: set[Link] = set()  # connections to hosts, those on their way out too
         self.open_ids: set[bytes] = set()  # of clients' requests, until they are answered or their end
-        self.door = Door(told.sockets)
+        self.door = Door(told.sockets, CALLERS if told.operator else 0)
         self.few = Few(log, self.deadlines, "client: first line can't be read")
-        self.ready = self.stopping = self.shut = self.ended = False
-        self._waiting: list[Callable[[], None]] = []
+        self.few_records = Few(log, self.deadlines, "staff: records can't be read")
+        self.ready = self.shut = self.ended = False
+        self.leaving: Leaving | None = None
+        self._waiting: list[Callable[[bool], None]] = []
+        self.records, self.detached = Records(told.folder / "detached"), set[str]()
         self.port: Any = None
+        self.operator = Operator(self, self.deadlines)
+        self.operator_port: Any = None
         self.quic: QuicFront | None = None
 
     def start(self) -> None:
@@ -82,19 +86,33 @@
         self.engine.listed(ListKind.CACHED, known.rev, self.directory.entries(known))
         if self.told.quic is not None:
             self._start_quic(self.told.quic)
+        if self.told.operator is not None:
+            self._start_operator(self.told.operator)
         if self.watch is None:
             self._ready()
         self.deadlines.after(SWEEP, self._sweep)
         log.info("node {name}: listening on {host}:{port}, {count} descriptors", name=self.told.name,
                  host=host, port=port, count=self.door.sockets)
 
+    def _start_operator(self, address: tuple[str, int]) -> None:
+        try:
+            self.records.open()
+        except OSError as error:  # serving goes on; each call to detach says no
+            log.error("staff: no records: {error}", error=error)
+        else:
+            self._poll()
+        self.operator_port = listen(self.reactor, address, self.operator, CALLERS)
+        log.info("node {name}: staff's calls on {host}:{port}", name=self.told.name, host=address[0],
+                 port=address[1])
+
     def _start_quic(self, told: Quic) -> None:
         from puffindeck.quic.front import (
             QuicFront,  # its libraries stay out of a node that has no use for them
         )
 
         self.quic = QuicFront(
-            self.reactor, told, self.engine, self.deadlines, self.directory, lambda: self.stopping
+            self.reactor, told, self.engine, self.deadlines, self.directory,
+            lambda: self.leaving is not None,
         )
         host, port = told.listen
         self.quic_port = self.reactor.listenUDP(port, self.quic, interface=host, maxPacketSize=65535)
@@ -139,14 +157,12 @@
             log.info("node {name}: ready", name=self.told.name)
             waiting, self._waiting = self._waiting, []
             for act in waiting:
-                act()
+                act(self.leaving is None)
 
-    def when_ready(self, act: Callable[[], None]) -> None:
-        """Do it once the node serves: never on one that stops."""
-        if self.stopping:
-            return
-        if self.ready:
-            act()
+    def when_ready(self, act: Callable[[bool], None]) -> None:
+        """Say it once the node serves; at once that it does not, when it stops or is a lame duck."""
+        if self.ready or self.leaving is not None:
+            act(self.leaving is None)
         else:
             self._waiting.append(act)
 
@@ -168,47 +184,89 @@
                 client.silent()
         self.deadlines.after(SWEEP, self._sweep)
 
+    # What staff ask for
+
+    def why_not_ready(self) -> str:
+        if not self.ready:
+            return "starting"
+        if self.leaving is None:
+            return ""
+        return "stopping" if self.leaving.ends else "draining"
+
+    def detach(self, host: str) -> bool:
+        """Nothing more to a host, whatever the list says. False if the list has never named it."""
+        known = self.directory.known(host)
+        if known:
+            self.records.put(host)  # the record comes before the yes
+            self._take_up()
+        return known
+
+    def attach(self, host: str) -> bool:
+        known = self.directory.known(host) or host in self.detached
+        if known:
+            self.records.drop(host)
+            self._take_up()
+        return known
+
+    def _poll(self) -> None:
+        """The other process of an upgrade may have been told instead."""
+        self.deadlines.after(POLL, self._poll)
+        try:
+            self._take_up()
+        except OSError as error:  # what is known holds
+            self.few_records.warn("staff: records can't be read: {error}", error=error)
+
+    def _take_up(self) -> None:
+        marked = self.records.read()
+        for host in sorted(marked - self.detached):
+            log.info("host {host}: detached", host=host)
+            self.engine.detach(self.directory.number(host))
+        for host in sorted(self.detached - marked):
+            log.info("host {host}: attached", host=host)
+            self.engine.attach(self.directory.number(host))
+        self.detached = marked
+
+    def lame(self) -> None:
+        """Send all clients away, and stay. Once it is under way, asking again changes nothing."""
+        if self.leaving is None:
+            log.info("node {name}: lame duck, {count} to move", name=self.told.name,
+                     count=len(self.engine.standing()))
+            self.leaving = Leaving(self, LAME, None)
+
+    def unlame(self) -> bool:
+        """Take clients again. False if it stops for good."""
+        if self.leaving is not None:
+            if self.leaving.ends:
+                return False
+            self.leaving.cancel()
+            self.leaving, self.shut = None, False
+            log.info("node {name}: lame duck no more", name=self.told.name)
+        return True
+
     # The end
 
     def stop(self) -> None:
         """Answer all, move every standing connection, and go."""
-        if self.stopping:
-            return
-        self.stopping = True
+        if self.leaving is not None:
+            if self.leaving.ends:
+                return
+            self.leaving.cancel()
         log.info("node {name}: stopping, {count} to move", name=self.told.name,
                  count=len(self.engine.standing()))
-        self.deadlines.after(ACCEPT, self._shut)
-        self.deadlines.after(SEND_FROM, self._send_away)
-        self._stop_at = self.deadlines.clock.now() + STOP
-        self.deadlines.after(ACCEPT + SWEEP, self._stopped)
+        self.leaving = Leaving(self, RESTART, self._stopped)
 
-    def _shut(self) -> None:
+    def shut_door(self, for_good: bool) -> None:
+        """Serve nobody more. A lame duck's port stays open: who still comes is told to come again."""
         self.shut = True
-        self.port.stopListening()
-
-    def _send_away(self) -> None:
-        standing = self.engine.standing()
-        for i, number in enumerate(standing):
-            self.deadlines.after(SEND_AWAY * i / len(standing), self.engine.send_away, number)
+        if for_good:
+            self.port.stopListening()
 
     def _stopped(self) -> None:
-        """Once nothing is left, or it is time."""
-        late = self.deadlines.clock.now() >= self._stop_at
-        if late:
-            for client in list(self.clients):
-                client.close_out()
-        else:
-            for number in self.engine.standing():  # those that came up meanwhile
-                if self.deadlines.clock.now() >= self._stop_at - STOP + SEND_FROM + SEND_AWAY:
-                    self.engine.send_away(number)
-        if not self.clients or late:
-            self.ended = True
-            if self.watch is not None:
-                self.watch.stop()
-            log.info("node {name}: stopped", name=self.told.name)
-            self.deadlines.after(span(300 if self.clients else 0), self._end)
-        else:
-            self.deadlines.after(span(50), self._stopped)
+        self.ended = True
+        if self.watch is not None:
+            self.watch.stop()
+        log.info("node {name}: stopped", name=self.told.name)
+        self.deadlines.after(span(300 if self.clients else 0), self._end)
 
     def _end(self) -> None:
         self.deadlines.clear()
--- /dev/null
+++ b/puffindeck/net/operator.py
@@ -0,0 +1,148 @@
+"""The second address: staff's calls over HTTP. It decides nothing: it asks the node, and says yes or no."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from io import BytesIO
+from typing import Any, Protocol
+
+from twisted.internet.protocol import Factory
+from twisted.logger import Logger
+from twisted.web import http
+
+from puffindeck.core.clock import span
+from puffindeck.core.deadlines import Deadlines
+
+log = Logger("puffindeck")
+
+CALLERS = 16  # connections at once; a whole call is answered in the turn in which it is read
+PATIENCE = span(3000)  # how long a caller may be without a whole call
+
+
+class Staffed(Protocol):
+    """What staff may ask of a node. A call that can't be met says why."""
+
+    def why_not_ready(self) -> str: ...
+
+    def detach(self, host: str) -> bool: ...
+
+    def attach(self, host: str) -> bool: ...
+
+    def lame(self) -> None: ...
+
+    def unlame(self) -> bool: ...
+
+
+class Call(http.Request):
+    """One call. No call has a body: what comes of one is let go."""
+
+    channel: Any
+
+    def gotLength(self, length: int | None) -> None:
+        self.content = BytesIO()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """The library would keep it, a large one in a file, which counts as memory here."""
+
+    def process(self) -> None:
+        self.channel.persistent = False
+        factory: Operator = self.channel.factory
+        try:
+            status, text = factory.answer(self.method, self.path, self.args)
+        except Exception as error:  # no yes without the deed
+            log.failure("staff: call failed")
+            status, text = http.INTERNAL_SERVER_ERROR, f"no: {error}"
+        log.info("staff: {method} {uri}: {status} {text}", method=self.method.decode("latin-1"),
+                 uri=self.uri[:200].decode("latin-1"), status=status, text=text)
+        body = f"{text}\n".encode()
+        self.setResponseCode(status)
+        self.setHeader(b"content-type", b"text/plain; charset=utf-8")
+        self.setHeader(b"content-length", b"%d" % len(body))
+        self.setHeader(b"connection", b"close")
+        self.write(body)
+        self.finish()
+
+
+class Caller(http.HTTPChannel):
+    """A caller's connection, let go after one call or when its time is up."""
+
+    requestFactory = Call
+    timeOut = None  # the node's one timer has it
+    factory: Any
+    transport: Any
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        operator: Operator = self.factory
+        self._patience = operator.deadlines.after(PATIENCE, self.put_out)
+        operator.comes(self)
+
+    def put_out(self) -> None:
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.factory.deadlines.cancel(self._patience)
+        self.factory.callers.pop(self, None)
+        super().connectionLost(reason)
+
+
+class Operator(Factory):
+    """The calls, and the callers at once, oldest first."""
+
+    noisy = False
+    protocol = Caller
+
+    def __init__(self, node: Staffed, deadlines: Deadlines) -> None:
+        self.node, self.deadlines = node, deadlines
+        self.callers: dict[Caller, None] = {}
+        self._calls: dict[bytes, tuple[bytes, Callable[[dict[bytes, list[bytes]]], tuple[int, str]]]] = {
+            b"/_ready": (b"GET", self._ready),
+            b"/_hosts/detach": (b"PUT", lambda args: self._host(args, self.node.detach)),
+            b"/_hosts/attach": (b"PUT", lambda args: self._host(args, self.node.attach)),
+            b"/_lameduck/on": (b"PUT", self._lame),
+            b"/_lameduck/off": (b"PUT", self._unlame),
+        }
+
+    def log(self, request: Call) -> None:
+        """The library's access log: ours is written with the answer."""
+
+    def comes(self, caller: Caller) -> None:
+        """Callers that stall must not keep a whole call out: the oldest goes."""
+        self.callers[caller] = None
+        if len(self.callers) > CALLERS:
+            oldest = next(iter(self.callers))
+            del self.callers[oldest]
+            oldest.put_out()
+
+    def answer(self, method: bytes, path: bytes, args: dict[bytes, list[bytes]]) -> tuple[int, str]:
+        call = self._calls.get(path)
+        if call is None:
+            return http.NOT_FOUND, "no such call"
+        if method != call[0]:
+            return http.NOT_ALLOWED, f"{call[0].decode()} it"
+        return call[1](args)
+
+    def _ready(self, _: dict[bytes, list[bytes]]) -> tuple[int, str]:
+        why = self.node.why_not_ready()
+        return (http.SERVICE_UNAVAILABLE, f"no: {why}") if why else (http.OK, "yes")
+
+    def _host(self, args: dict[bytes, list[bytes]], act: Callable[[str], bool]) -> tuple[int, str]:
+        named = args.get(b"member", [])
+        if len(named) != 1 or not named[0]:
+            return http.BAD_REQUEST, "no: one member=ID"
+        try:
+            host = named[0].decode()
+        except UnicodeDecodeError:
+            return http.BAD_REQUEST, "no: member is not UTF-8"
+        try:
+            known = act(host)
+        except OSError as error:
+            return http.INSUFFICIENT_STORAGE_SPACE, f"no: it can't be recorded: {error}"
+        return (http.OK, "yes") if known else (http.NOT_FOUND, "no: the list has not named this host")
+
+    def _lame(self, _: dict[bytes, list[bytes]]) -> tuple[int, str]:
+        self.node.lame()
+        return http.OK, "yes"
+
+    def _unlame(self, _: dict[bytes, list[bytes]]) -> tuple[int, str]:
+        return (http.OK, "yes") if self.node.unlame() else (http.CONFLICT, "no: it stops")
--- a/puffindeck/plugin/endpoint.py
+++ b/puffindeck/plugin/endpoint.py
@@ -74,6 +74,13 @@
         """The list could not be had; the old one stays."""
         self.engine.listed(ListKind.FAILED)
 
+    def detach(self, uid: str) -> None:
+        """Nothing new to this server until it is attached, whatever the list says."""
+        self.engine.detach(self.directory.number(uid))
+
+    def attach(self, uid: str) -> None:
+        self.engine.attach(self.directory.number(uid))
+
     def endpoint(self, key: str = "", cls: str = "", deadline: timedelta | None = None) -> BalancedEndpoint:
         """An endpoint for connections of one key and class."""
         names = [c.name for c in self.settings.classes]
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -127,7 +127,7 @@
         known = Members(1, True, [self.target(uid) for uid in self.hosts])
         host, port = self.discovery.address.split(":")
         told = Node("n0", ("127.0.0.1", 0), (host, int(port)), 7, 1024, known, replace(SETTINGS, **settings))
-        self.node = NetNode(reactor, told, Clock())
+        self.node = NetNode(reactor, self.changed(told), Clock())
         decide = self.node.engine.balancer.handle
 
         def spy(now: float, events: Any) -> Any:
@@ -139,6 +139,10 @@
         self.node.start()
         self.addCleanup(self.close)
 
+    def changed(self, told: Node) -> Node:
+        """What a story has its node told otherwise."""
+        return told
+
     def target(self, uid: str, state: str = "SERVING") -> Target:
         return Target(uid, state, self.hosts[uid].address, "a", "m")
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,6 +22,7 @@
 from puffindeck.net import client as client_module
 from puffindeck.net import discovery, door, logs, node
 from puffindeck.net.heads import Head, HeadError
+from puffindeck.net.leaving import Pace
 from tests.stories import Listener, Story, reactor
 
 ASK = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=1100,g=5c0f6e1a2b3d4c59"
@@ -98,8 +99,8 @@
         await self.until(lambda: client.buffer, "the half line")
         slow = await self.client()
         with (patch.object(self.node, "reactor", wraps=reactor) as program,
-              patch.object(node, "ACCEPT", span(200)), patch.object(node, "SEND_FROM", span(400)),
-              patch.object(node, "SEND_AWAY", span(100)), patch.object(program, "stop") as stop):
+              patch.object(node, "RESTART", Pace(span(200), span(400), span(100), span(3300))),
+              patch.object(program, "stop") as stop):
             self.node.stop()
             late, _, _ = await self.served(ASK)  # other nodes may be stopping too, or not be back yet
             client.write(b"still here\r\n")
--- /dev/null
+++ b/tests/test_staff.py
@@ -0,0 +1,174 @@
+"""Staff's calls on the second address, over loopback: hosts taken out and put back, and a lame duck."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+
+from puffindeck.config import Node as Told
+from puffindeck.core.clock import span
+from puffindeck.interface import Attached, Detached
+from puffindeck.net import node, operator
+from puffindeck.net.leaving import Pace
+from tests.stories import Peer, Story
+from tests.test_node import ASK
+
+
+class StaffStories(Story):
+    """A node with a second address."""
+
+    def build(self, hosts: int = 2, **settings: Any) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        super().build(hosts, **settings)
+
+    def changed(self, told: Told) -> Told:
+        return msgspec.structs.replace(told, operator=("127.0.0.1", 0), folder=self.folder)
+
+    async def close(self) -> None:
+        for caller in list(self.node.operator.callers):
+            caller.put_out()
+        await self.node.operator_port.stopListening()
+        await super().close()
+
+    async def caller(self) -> Peer:
+        return await self.client(port=self.node.operator_port.getHost().port)
+
+    async def call(self, text: str, rest: str = "") -> int:
+        """A call; its status. Its connection has ended then."""
+        caller = await self.caller()
+        caller.write(f"{text} HTTP/1.1\r\nHost: n0\r\n{rest}\r\n".encode())
+        status = int((await caller.line()).split(b" ")[1])
+        self.assertEqual(await caller.ended(), "ConnectionDone")
+        return status
+
+    async def serving(self) -> Peer:
+        watch = await self.watched()
+        self.news(watch, 2, False)
+        await self.until(lambda: self.node.ready, "readiness")
+        return watch
+
+    async def test_ready_is_no_while_starting_and_draining_and_odd_calls_get_a_no(self) -> None:
+        self.build()
+        self.assertEqual(await self.call("GET /_ready"), 503)
+        await self.serving()
+        self.assertEqual(await self.call("GET /_ready"), 200)
+        for odd, status in (("GET /", 404), ("PUT /_ready", 405), ("GET /_lameduck/on", 405),
+                            ("PUT /_hosts/detach", 400), ("PUT /_hosts/detach?member=", 400),
+                            ("PUT /_hosts/detach?member=h0&member=h1", 400), ("NONSENSE", 400),
+                            ("PUT /_hosts/detach?member=%ff", 400),
+                            ("PUT /_hosts/detach?member=..%2Fh0", 404),
+                            ("PUT /_hosts/attach?member=h7", 404)):
+            self.assertEqual(await self.call(odd), status, odd)
+        self.assertEqual(self.ends(Detached), [])
+        self.assertEqual(await self.call("PUT /_lameduck/on"), 200)
+        self.assertEqual(await self.call("GET /_ready"), 503)
+        self.assertEqual(await self.call("PUT /_lameduck/off", "Content-Length: 2\r\n\r\nhi"), 200)
+        self.assertEqual(await self.call("GET /_ready"), 200)
+
+    async def test_callers_that_stall_keep_no_whole_call_out(self) -> None:
+        self.build()
+        await self.serving()
+        stalled = [await self.caller() for _ in range(2 * operator.CALLERS)]
+        stalled[-1].write(b"GET /_ready HT")
+        self.assertEqual(await self.call("GET /_ready"), 200)
+        await self.until(lambda: sum(p.end is not None for p in stalled) >= operator.CALLERS, "their end")
+        self.assertLessEqual(len(self.node.operator.callers), operator.CALLERS)
+        with patch.object(operator, "PATIENCE", span(50)):
+            late = await self.caller()
+            await late.ended()
+
+    async def test_a_detached_host_gets_nothing_whatever_the_list_says_and_its_clients_move(self) -> None:
+        self.build()
+        watch = await self.serving()
+        client, uid, _ = await self.served(ASK)
+        for _ in range(2):  # the call may arrive twice, and one call back undoes both
+            self.assertEqual(await self.call(f"PUT /_hosts/detach?member={uid}"), 200)
+        self.assertEqual(await client.line(), b"MOVE")
+        self.news(watch, 3, False, self.target(uid))
+        for _ in range(3):
+            _, reached, _ = await self.served(ASK)
+            self.assertNotEqual(reached, uid)
+        self.assertEqual(await self.call(f"PUT /_hosts/attach?member={uid}"), 200)
+        self.assertEqual((len(self.ends(Detached)), len(self.ends(Attached))), (1, 1))
+        await self.until(lambda: self.back_in_use(uid), "its use")
+
+    def back_in_use(self, uid: str) -> bool:
+        server = self.node.engine.balancer.servers[self.node.directory.number(uid)]
+        return server.started > 0 and self.node.engine.balancer.returned == {server.id: server}
+
+    async def test_an_attempt_waiting_for_its_connect_is_not_written_to_a_detached_host(self) -> None:
+        self.build(hosts=1, drain_grace_ms=0)
+        number = self.node.directory.number("h0")
+        client = await self.client(ASK)
+        await self.until(lambda: self.node.links, "the attempt")
+        self.node.detach("h0")
+        _, host = await self.host_of()
+        await host.ended()
+        self.assertEqual(host.buffer, b"")
+        self.assertFalse(self.node.engine.may_reach(number))
+        self.assertRegex(await client.line(), rb"^BUSY \d+$")
+
+    async def test_what_another_process_was_told_holds_here_and_no_record_is_no_yes(self) -> None:
+        self.build()
+        await self.serving()
+        marker = self.folder / "detached" / b"h0".hex()
+        marker.touch()
+        (self.folder / "detached" / "not ours").touch()
+        await self.until(lambda: self.ends(Detached), "the other's word")
+        marker.unlink()
+        await self.until(lambda: self.ends(Attached), "the other's word")
+        for path in sorted(self.folder.rglob("*"), reverse=True):
+            path.rmdir() if path.is_dir() else path.unlink()
+        self.assertEqual(await self.call("PUT /_hosts/detach?member=h0"), 507)
+        self.assertEqual(len(self.ends(Detached)), 1)
+
+    async def test_a_lame_duck_says_no_serves_a_little_moves_all_and_takes_clients_again(self) -> None:
+        self.build()
+        await self.serving()
+        front = await self.client("PING")
+        self.assertEqual(await front.line(), b"PONG")
+        first, _, _ = await self.served(ASK)
+        with patch.object(node, "LAME", Pace(span(1000), span(1100), span(100), span(1800))):
+            self.assertEqual(await self.call("PUT /_lameduck/on"), 200)
+        front.write(b"PING\r\n")
+        self.assertEqual(await front.line(), b"BUSY")
+        late, _, host = await self.served(ASK)
+        host.write(b"half a li")
+        half = await self.client(ASK)  # its hosts say nothing
+        leaving = self.node.leaving
+        self.assertEqual(await self.call("PUT /_lameduck/on"), 200)
+        self.assertIs(self.node.leaving, leaving)  # the clock goes on
+        self.assertEqual(await first.line(), b"MOVE")
+        await self.until(lambda: self.node.shut, "its end of serving")
+        refused = await self.client(ASK)
+        self.assertRegex(await refused.line(), rb"^BUSY \d+$")
+        self.assertEqual([await late.ended(), await half.ended()], ["ConnectionDone", "ConnectionDone"])
+        self.assertRegex(await half.line(), rb"^(BUSY \d+|MOVE)$")
+        self.assertIsNone(front.end)
+        self.assertEqual(await self.call("PUT /_lameduck/off"), 200)
+        front.write(b"PING\r\n")
+        self.assertEqual(await front.line(), b"PONG")
+        for listener in self.hosts.values():
+            while listener.accepted.pending:
+                await listener.next()
+        back, _, _ = await self.served(ASK)
+        self.assertIsNone(back.end)
+
+    async def test_a_lame_duck_called_back_moves_nobody_more(self) -> None:
+        self.build()
+        await self.serving()
+        client, _, host = await self.served(ASK)
+        with patch.object(node, "LAME", Pace(span(50), span(150), span(100), span(300))):
+            self.assertEqual(await self.call("PUT /_lameduck/on"), 200)
+        await self.until(lambda: self.node.shut, "its end of serving")
+        self.assertEqual(await self.call("PUT /_lameduck/off"), 200)
+        with self.assertRaises(AssertionError):
+            await self.until(lambda: client.end, "no end")
+        client.write(b"still here\r\n")
+        self.assertEqual(await host.line(), b"still here")
