Upgrades: a new process adopts the clients' socket, the old one hands over to it

Built: net/upgrade.py (a locked file for each process, free once its owner is gone), door.adopt, one more pace of leaving. A process accepts only once ready; the older one stops accepting at that moment, serves what it accepted, moves its clients over 2.6 s. Both take each other's descriptors off the node's. SIGTERM mostly comes before the lock is polled, so it looks at the locks too.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
+from twisted.internet.error import CannotListenError
 from twisted.logger import FileLogObserver, globalLogBeginner
 
 from puffindeck import config
@@ -41,7 +42,11 @@
     def reload() -> None:
         node.reload(lambda now: config.again(now, os.environ, chosen.config))
 
-    node.start()
+    try:
+        node.start()
+    except CannotListenError as error:
+        print(f"puffindeck: {error}", file=sys.stderr)
+        return 2
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda number, frame: reactor.callFromThread(node.stop))
     reactor.run(installSignalHandlers=False)
--- a/puffindeck/config.py
+++ b/puffindeck/config.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Mapping
 from datetime import timedelta
+from os import dup
 from pathlib import Path
+from socket import AF_INET, AF_INET6, SO_ACCEPTCONN, SOL_SOCKET, socket
 from tempfile import gettempdir
 from typing import Any
 
@@ -228,6 +230,7 @@
     settings: Settings
     quic: Quic | None = None
     operator: tuple[str, int] | None = None  # None: no second address
+    inherited: int | None = None  # the descriptor of a clients' socket that others hold too
     folder: Path = Path(gettempdir())  # where records are kept that outlive the process
     file: NodeFile | None = None  # as it was read: what a reload compares with
 
@@ -248,6 +251,21 @@
         raise ConfigError(f"{key} must be hexadecimal, not {text!r}") from None
 
 
+def _descriptor(text: str) -> int | None:
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"EDGE_INHERITED_FD must be a descriptor's number, not {text!r}")
+    try:
+        listens = socket(fileno=dup(int(text)))
+    except OSError as error:
+        raise ConfigError(f"EDGE_INHERITED_FD: {text} is no socket: {error.strerror}") from None
+    with listens:
+        if listens.family not in (AF_INET, AF_INET6) or not listens.getsockopt(SOL_SOCKET, SO_ACCEPTCONN):
+            raise ConfigError(f"EDGE_INHERITED_FD: {text} is no listening TCP socket")
+    return int(text)
+
+
 def quic(table: QuicTable, settings: Settings) -> Quic:
     """The QUIC front's table, checked."""
     names = [c.name for c in settings.classes]
@@ -325,6 +343,7 @@
         settings=settings,
         quic=quic(file.quic, settings) if file.quic else None,
         operator=address(operator, "EDGE_OPERATOR") if operator else None,
+        inherited=_descriptor(environment.get("EDGE_INHERITED_FD", "")),
         folder=Path(environment.get("TMPDIR") or gettempdir()) / f"puffindeck-{name.encode().hex()}",
         file=file,
     )
--- a/puffindeck/net/door.py
+++ b/puffindeck/net/door.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import os
 import resource
+import socket
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import tcp
@@ -31,6 +33,19 @@
         """The library would take in ever more."""
 
 
+def adopt(reactor: Any, descriptor: int, factory: Any) -> Port:
+    """A socket that others hold too, as the reactor's adoptStreamPort does it, with our Port.
+
+    It is never shut down, as that would end it for all of them, and from now on it does not block.
+    """
+    os.set_blocking(descriptor, False)
+    with socket.socket(fileno=os.dup(descriptor)) as held:
+        family = held.family
+    opened: Port = Port._fromListeningDescriptor(reactor, descriptor, family, factory)
+    opened.startListening()
+    return opened
+
+
 def listen(reactor: Any, address: tuple[str, int], factory: Any, backlog: int) -> Port:
     host, port = address
     opened = Port(port, factory, backlog, host, reactor)
@@ -44,13 +59,19 @@
     def __init__(self, sockets: int, reserved: int = 0) -> None:
         self.waiting: dict[ClientLine, None] = {}  # accepted, with no whole line yet
         self.leaving: dict[ClientLine, None] = {}  # answered
-        self._reserved = SPARE + reserved
+        self._reserved, self.others = SPARE + reserved, 0
         self.limit(sockets)
 
     def limit(self, sockets: int) -> None:
         """How many descriptors there are: as configured, and as the system allows."""
         allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        self.sockets = sockets if allowed == resource.RLIM_INFINITY else min(sockets, allowed)
+        self._allowed = sockets if allowed == resource.RLIM_INFINITY else min(sockets, allowed)
+        self.share(self.others)
+
+    def share(self, others: int) -> None:
+        """Another process of this node, in an upgrade, holds so many of its descriptors."""
+        self.others = others
+        self.sockets = self._allowed - others
         self.most = max(8, self.sockets // PART)
 
     def full(self, used: int) -> bool:
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -19,12 +19,13 @@
 from puffindeck.net.client import ClientLine
 from puffindeck.net.directory import Directory
 from puffindeck.net.discovery import Watch
-from puffindeck.net.door import Door, listen
+from puffindeck.net.door import Door, adopt, listen
 from puffindeck.net.host import Link
-from puffindeck.net.leaving import LAME, RESTART, Leaving
+from puffindeck.net.leaving import LAME, RESTART, UPGRADE, Leaving, Pace
 from puffindeck.net.logs import Few
 from puffindeck.net.operator import CALLERS, Operator
 from puffindeck.net.records import Records
+from puffindeck.net.upgrade import Generation
 
 if TYPE_CHECKING:
     from puffindeck.quic.front import QuicFront
@@ -73,6 +74,7 @@
         self.leaving: Leaving | None = None
         self._waiting: list[Callable[[bool], None]] = []
         self.records, self.detached = Records(told.folder / "detached"), set[str]()
+        self.generation = Generation(told.folder / "processes")
         self.port: Any = None
         self.operator = Operator(self, self.deadlines)
         self.operator_port: Any = None
@@ -81,7 +83,10 @@
     def start(self) -> None:
         """Listen, and ask for the list; readiness comes with the first answer, be it that there is none."""
         host, port = self.told.listen
-        self.port = listen(self.reactor, self.told.listen, ClientFactory(self), BACKLOG)
+        if self.told.inherited is None:
+            self.port = listen(self.reactor, self.told.listen, ClientFactory(self), BACKLOG)
+        else:
+            self._join()
         known = self.told.known
         self.engine.listed(ListKind.CACHED, known.rev, self.directory.entries(known))
         if self.told.quic is not None:
@@ -94,6 +99,39 @@
         log.info("node {name}: listening on {host}:{port}, {count} descriptors", name=self.told.name,
                  host=host, port=port, count=self.door.sockets)
 
+    def _join(self) -> None:
+        """Be one of the processes that hold the clients' socket."""
+        try:
+            self.generation.begin()
+        except OSError as error:  # it serves all the same; the older one leaves when it is told to
+            log.error("upgrade: no lock, other processes are not known: {error}", error=error)
+        else:
+            self._look_round()
+
+    def _look_round(self) -> None:
+        """While there is another process, both together have what the one node has."""
+        self.deadlines.after(POLL, self._look_round)
+        if self.ready and self._followed() and (self.leaving is None or not self.leaving.ends):
+            self._hand_over()
+
+    def _followed(self) -> bool:
+        """Is a newer process ready? The descriptors are shared with whatever other there is."""
+        try:
+            others = self.generation.others()
+            if others or self.door.others:
+                self.generation.tell(self.ready and self.leaving is None)
+                self.door.share(sum(other.descriptors for other in others))
+        except OSError as error:
+            self.few_records.warn("upgrade: locks can't be read: {error}", error=error)
+            return False
+        return any(other.newer and other.ready for other in others)
+
+    def _hand_over(self) -> None:
+        """The newer process is ready: accept nothing more, and leave."""
+        log.info("upgrade: a newer process is ready")
+        self._stop_accepting()
+        self._leave(UPGRADE)
+
     def _start_operator(self, address: tuple[str, int]) -> None:
         try:
             self.records.open()
@@ -154,6 +192,9 @@
     def _ready(self) -> None:
         if not self.ready:
             self.ready = True
+            if self.told.inherited is not None and self.leaving is None:
+                self.port = adopt(self.reactor, self.told.inherited, ClientFactory(self))
+                self.generation.tell(True)
             log.info("node {name}: ready", name=self.told.name)
             waiting, self._waiting = self._waiting, []
             for act in waiting:
@@ -247,24 +288,35 @@
 
     def stop(self) -> None:
         """Answer all, move every standing connection, and go."""
+        if self.leaving is not None and self.leaving.ends:
+            return
+        if self.told.inherited is not None and self._followed():
+            self._hand_over()
+        else:
+            self._leave(RESTART)
+
+    def _leave(self, pace: Pace) -> None:
         if self.leaving is not None:
-            if self.leaving.ends:
-                return
             self.leaving.cancel()
         log.info("node {name}: stopping, {count} to move", name=self.told.name,
                  count=len(self.engine.standing()))
-        self.leaving = Leaving(self, RESTART, self._stopped)
+        self.leaving = Leaving(self, pace, self._stopped)
 
     def shut_door(self, for_good: bool) -> None:
         """Serve nobody more. A lame duck's port stays open: who still comes is told to come again."""
         self.shut = True
         if for_good:
+            self._stop_accepting()
+
+    def _stop_accepting(self) -> None:
+        if self.port is not None and self.port.connected:
             self.port.stopListening()
 
     def _stopped(self) -> None:
         self.ended = True
         if self.watch is not None:
             self.watch.stop()
+        self.generation.end()
         log.info("node {name}: stopped", name=self.told.name)
         self.deadlines.after(span(300 if self.clients else 0), self._end)
 
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -152,8 +152,11 @@
         peers = [p for listener in (*self.hosts.values(), self.discovery) for p in listener.peers]
         for transport in [p.transport for p in peers] + [c.transport for c in self.node.clients]:
             transport.abortConnection()
-        for port in [listener.port for listener in (*self.hosts.values(), self.discovery)] + [self.node.port]:
-            await maybeDeferred(port.stopListening)
+        ports = [listener.port for listener in (*self.hosts.values(), self.discovery)] + [self.node.port]
+        for port in ports:
+            if port is not None:
+                await maybeDeferred(port.stopListening)
+        self.node.generation.end()
         await self.until(lambda: not self.node.clients and all(p.end for p in peers), "all to close")
         self.node.deadlines.clear()
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,131 @@
+"""Two processes of one node over loopback, with a socket that both hold, and how each knows the other."""
+
+from __future__ import annotations
+
+import os
+import socket
+import tempfile
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+from twisted.internet.defer import maybeDeferred
+
+from puffindeck import config
+from puffindeck.config import Node as Told
+from puffindeck.core.clock import Clock, span
+from puffindeck.net import node
+from puffindeck.net.leaving import Pace
+from puffindeck.net.node import Node
+from puffindeck.net.upgrade import Generation, descriptors
+from tests.stories import Peer, Story, reactor
+from tests.test_node import ASK
+
+
+class UpgradeStories(Story):
+    """A node whose clients' socket is held by the platform, and the process that is to follow it."""
+
+    async def build_both(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.addCleanup(self.socket.close)
+        self.address = self.socket.getsockname()[1]
+        self.build()
+        await self.made_ready(self.node)
+        self.second = Node(reactor, self.node.told, Clock())
+        self.addCleanup(self.close_second)
+        self.second.start()
+
+    def changed(self, told: Told) -> Told:
+        return msgspec.structs.replace(told, inherited=self.socket.fileno(), folder=self.folder)
+
+    async def made_ready(self, started: Node) -> None:
+        watch = await self.watched()
+        self.assertIsNone(started.port)  # it accepts nobody before it is ready
+        self.news(watch, 2, False)
+        await self.until(lambda: started.port, "readiness")
+
+    async def close_second(self) -> None:
+        """Before the first, whose hosts and discovery it uses."""
+        assert self.second.watch is not None
+        self.second.watch.stop()
+        for client in list(self.second.clients):
+            client.transport.abortConnection()
+        await self.until(lambda: not self.second.clients, "its clients to go")
+        if self.second.port is not None:
+            await maybeDeferred(self.second.port.stopListening)
+        self.second.generation.end()
+        self.second.deadlines.clear()
+
+    async def dial(self, line: str) -> Peer:
+        return await self.client(line, self.address)
+
+    async def test_the_older_process_serves_until_the_newer_is_ready_then_moves_all_and_ends(self) -> None:
+        await self.build_both()
+        client = await self.dial(ASK)
+        _, host = await self.host_of()
+        await host.line()
+        host.write(b"UP r1\r\n")
+        self.assertEqual(await client.line(), b"UP r1")
+        accepted = await self.dial("")
+        await self.until(lambda: len(self.node.clients) == 2, "both at the older one")
+        with (patch.object(self.node, "reactor", wraps=reactor) as program,
+              patch.object(node, "UPGRADE", Pace(span(1500), span(300), span(100), span(3300))),
+              patch.object(program, "stop") as stop):
+            await self.made_ready(self.second)
+            await self.until(lambda: self.node.leaving, "the older to leave")
+            self.node.stop()  # SIGTERM does not begin it anew
+            self.assertEqual(self.node.why_not_ready(), "stopping")
+            self.assertFalse(self.node.port.connected)
+            accepted.write(ASK.replace("9b1f03aa5c7e2d41", "aa").encode() + b"\r\n")  # still owed an answer
+            _, host = await self.host_of()
+            await host.line()
+            host.write(b"UP r2\r\n")
+            self.assertEqual([await accepted.line(), await accepted.line()], [b"UP r2", b"MOVE"])
+            self.assertEqual(await client.line(), b"MOVE")
+            new = await self.dial("PING")
+            self.assertEqual(await new.line(), b"PONG")
+            self.assertEqual(len(self.second.clients), 1)
+            await self.until(lambda: stop.called, "its end")
+        self.assertEqual([path.name for path in (self.folder / "processes").iterdir()],
+                         [self.second.generation.name])
+        again = await self.dial("PING")  # the socket has outlived it
+        self.assertEqual(await again.line(), b"PONG")
+
+    async def test_both_together_have_the_descriptors_of_one(self) -> None:
+        await self.build_both()
+        await self.until(lambda: self.node.door.others and self.second.door.others, "each to know the other")
+        self.assertEqual(self.node.door.sockets, 1024 - self.node.door.others)
+        self.assertLess(abs(self.second.door.others - descriptors()), 8)
+        self.second.generation.end()
+        await self.until(lambda: self.node.door.sockets == 1024, "its share to come back")
+
+    def test_files_of_the_dead_and_of_others_harm_nobody(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name) / "processes"
+            dead, first, second = Generation(folder), Generation(folder), Generation(folder)
+            dead.begin()
+            dead.tell(True)
+            for junk in ("x", "7-x", ".1", "-"):
+                (folder / junk).write_text("1 no\n")
+            first.begin()
+            second.begin()
+            second.tell(True)
+            os.close(dead._file)  # as the system does when a process is killed
+            self.assertEqual([other[:2] for other in first.others()], [(True, True)])
+            self.assertEqual([other[:2] for other in second.others()], [(False, False)])
+            self.assertFalse((folder / dead.name).exists())
+            first.end()
+            self.assertEqual(second.others(), [])
+            second.end()
+
+    def test_what_is_no_listening_socket_is_named(self) -> None:
+        with (socket.socket() as plain, tempfile.TemporaryFile() as file,
+              patch.dict(os.environ, {"EDGE_CONFIG": "examples/node.json"})):
+            for bad in ("x", "-1", "99999", str(plain.fileno()), str(file.fileno())):
+                environment: dict[str, Any] = {**os.environ, "EDGE_INHERITED_FD": bad}
+                with self.assertRaisesRegex(config.ConfigError, "EDGE_INHERITED_FD"):
+                    config.node(environment)
