The door takes the descriptors that nobody needs; a first line may take 2.75 s

Seen: at 308 descriptors the door had 51 places for some 70 strangers a second, so nobody could wait over 0.7 s, and 2 s ended any that still waited; a client that stopped short in a line was moved as if its host were silent. Ruled out: lines cut at any byte (read the same), EMFILE (the library keeps a descriptor back for it).

--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -22,7 +22,7 @@
 log = Logger("puffindeck")
 
 HALF_LINE = span(700)  # how long a MOVE waits for the end of a line
-FIRST_LINE = span(2000)  # how long a connection may be without a first line
+FIRST_LINE = span(2750)  # how long a connection may be without a first line
 # A close over input that was not read resets the connection, and what was said last may be lost with it. So
 # what a client still sends is taken in, this much at a time, until it closes too or has had its time.
 DRAIN, DRAIN_PAUSE = 1 << 18, span(50)
@@ -123,7 +123,7 @@
     def pong(self, ready: bool) -> None:
         if not self._over:
             self.sendLine(b"PONG" if ready else b"BUSY")
-            self.node.door.comes(self)  # like any other from now on
+            self.node.door.rests(self)
             self._patience = self.deadlines.after(FIRST_LINE, self._idle)
 
     def rawDataReceived(self, data: bytes) -> None:
--- a/puffindeck/net/door.py
+++ b/puffindeck/net/door.py
@@ -1,7 +1,7 @@
 """Who stands at the door: clients that have asked for nothing yet, and those answered that have not gone.
 
-Strangers may come by hundreds and say nothing, or send what can't be read as fast as they can. They get a
-part of the descriptors and of each turn of the reactor, so that the rest stays with those who are served.
+Strangers may come by thousands and say nothing, or send what can't be read as fast as they can. They get the
+descriptors that nobody who is served needs, and a part of each turn of the reactor.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 import os
 import resource
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import tcp
@@ -16,7 +17,8 @@
 if TYPE_CHECKING:
     from puffindeck.net.client import ClientLine
 
-PART = 6  # one in this many descriptors may be held by clients at the door
+PART = 6  # one in this many descriptors may be held by clients at the door in any case
+NEXT = 24  # descriptors for those who ask next, and for their hosts
 SPARE = 40  # descriptors for the log, the reactor, discovery, a turn's accepts and closes under way
 ACCEPTS = 16  # connections taken in one turn of the reactor
 
@@ -56,9 +58,12 @@
 class Door:
     """The clients at the door, oldest first, and the descriptors in use."""
 
-    def __init__(self, sockets: int, reserved: int = 0) -> None:
+    def __init__(self, sockets: int, reserved: int = 0, used: Callable[[], int] = lambda: 0) -> None:
         self.waiting: dict[ClientLine, None] = {}  # accepted, with no whole line yet
+        self.idle: dict[ClientLine, None] = {}  # told PONG, with nothing since
         self.leaving: dict[ClientLine, None] = {}  # answered
+        self._put_out: set[ClientLine] = set()  # their descriptors are free within a turn of the reactor
+        self._used = used  # by clients that are served, and hosts
         self._reserved, self.others = SPARE + reserved, 0
         self.limit(sockets)
 
@@ -72,33 +77,48 @@
         """Another process of this node, in an upgrade, holds so many of its descriptors."""
         self.others = others
         self.sockets = self._allowed - others
-        self.most = max(8, self.sockets // PART)
+        self.least = max(8, self.sockets // PART)
 
-    def full(self, used: int) -> bool:
-        """Is there no room to serve one more, with this many in use by clients that are served and hosts?"""
-        return used + self.most + self._reserved > self.sockets
+    def __len__(self) -> int:
+        return self._held() + len(self._put_out)
+
+    def _held(self) -> int:
+        return len(self.waiting) + len(self.idle) + len(self.leaving)
+
+    def full(self) -> bool:
+        """Is there no room to serve one more?"""
+        return self._used() + self.least + self._reserved > self.sockets
 
     def comes(self, client: ClientLine) -> None:
-        self.waiting[client] = None
-        if len(self.waiting) + len(self.leaving) > self.most:
-            self._make_room()
+        self._put(client, self.waiting)
 
-    def asks(self, client: ClientLine) -> None:
-        self.waiting.pop(client, None)
+    def rests(self, client: ClientLine) -> None:
+        """It knows that this node is ready, or not; usual clients ask for more than that."""
+        self._put(client, self.idle)
 
     def leaves(self, client: ClientLine) -> None:
-        self.waiting.pop(client, None)
-        self.leaving[client] = None
-        if len(self.waiting) + len(self.leaving) > self.most:
-            self._make_room()
+        self._put(client, self.leaving)
+
+    def asks(self, client: ClientLine) -> None:
+        self.gone(client)
+        self._make_room()
 
     def gone(self, client: ClientLine) -> None:
-        self.waiting.pop(client, None)
-        self.leaving.pop(client, None)
+        for table in (self.waiting, self.idle, self.leaving):
+            table.pop(client, None)
+        self._put_out.discard(client)
+
+    def _put(self, client: ClientLine, table: dict[ClientLine, None]) -> None:
+        self.gone(client)
+        table[client] = None
+        self._make_room()
 
     def _make_room(self) -> None:
-        """The longest there goes: an answer is read by now, and a usual client has long asked."""
-        table = self.leaving if len(self.leaving) > len(self.waiting) else self.waiting
-        oldest = next(iter(table))
-        del table[oldest]
-        oldest.put_out()
+        """Who has been told PONG goes first, then the longest there: an answer is read by now."""
+        most = max(self.least, self.sockets - self._reserved - self._used() - NEXT)
+        while self._held() > most:
+            table = self.idle or max(self.leaving, self.waiting, key=len)
+            oldest = next(iter(table))
+            del table[oldest]
+            self._put_out.add(oldest)
+            oldest.put_out()
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -198,7 +198,7 @@
     def send(self, data: bytes) -> None:
         """What the client sends on an open connection."""
         if self.line is not None and not self.done:
-            if self.asked is None:
+            if self.asked is None and b"\n" in data:  # no answer is due to the start of a line
                 self.asked = self.deadlines.clock.now()
             self.line.transport.write(data)
 
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -70,7 +70,7 @@
         self.clients: set[ClientLine] = set()
         self.links: set[Link] = set()  # connections to hosts, those on their way out too
         self.open_ids: set[bytes] = set()  # of clients' requests, until they are answered or their end
-        self.door = Door(told.sockets, CALLERS if told.operator else 0)
+        self.door = Door(told.sockets, CALLERS if told.operator else 0, self._used)
         self.few = Few(log, self.deadlines, "client: first line can't be read")
         self.few_records = Few(log, self.deadlines, "staff: records can't be read")
         self.ready = self.shut = self.ended = False
@@ -232,9 +232,12 @@
 
     def crowded(self) -> bool:
         """Are there too few descriptors left for one more client and its host?"""
+        return self.door.full() or self.engine.held.full()
+
+    def _used(self) -> int:
+        """The descriptors of those who are served, and of hosts."""
         flows = len(self.quic.flows) if self.quic is not None else 0
-        served = len(self.clients) - len(self.door.waiting) - len(self.door.leaving)
-        return self.door.full(served + len(self.links) + flows) or self.engine.held.full()
+        return len(self.clients) - len(self.door) + len(self.links) + flows
 
     def come_back(self) -> timedelta:
         return COME_BACK
