--- a/puffindeck/net/leaving.py
+++ b/puffindeck/net/leaving.py
@@ -27,8 +27,8 @@
 # A connection is served until it is sent away, and other nodes may be stopping too or not be back yet: so at
 # a restart MOVEs go out as late as leaves time for the end. A lame duck's front has the other nodes.
 RESTART = Pace(accept=span(450), send_from=span(1800), send_over=span(1300), end=span(3300))
-UPGRADE = Pace(accept=span(1500), send_from=span(150), send_over=span(2600), end=span(3300))
-LAME = Pace(accept=span(600), send_from=span(700), send_over=span(1500), end=span(3000))
+UPGRADE = Pace(accept=span(1500), send_from=span(150), send_over=span(2900), end=span(3300))
+LAME = Pace(accept=span(450), send_from=span(500), send_over=span(2500), end=span(3250))
 
 
 class Leaving:
