--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -57,6 +57,26 @@
         self.assertEqual(await client.ended(), "ConnectionDone")
         self.assertEqual(self.ends(Ended)[-1].outcome, Outcome.OK)
 
+    async def test_a_line_reads_the_same_wherever_it_is_cut(self) -> None:
+        self.build()
+        watch = await self.watched()
+        self.news(watch, 2, False)
+        await self.until(lambda: self.node.ready, "readiness")
+        for line, answer in ((b"PING\r\n", b"PONG"), (b"OPEN 1 2 c=none,d=5\r\n", b"ERR")):
+            for cut in range(1, len(line)):
+                client = await self.client()
+                client.write(line[:cut])
+                (stranger,) = self.node.door.waiting
+                await self.until(partial(self.held, stranger, line[:cut]), "its first piece")
+                client.write(line[cut:])
+                self.assertEqual(await client.line(), answer)
+                client.transport.abortConnection()
+                await self.until(lambda: not self.node.clients, "its end")
+
+    @staticmethod
+    def held(stranger: client_module.ClientLine, piece: bytes) -> bool:
+        return bool(stranger._buffer == piece)
+
     async def test_a_connection_from_before_the_run_goes_to_its_host_with_any_time(self) -> None:
         # the first day lost all of these: their d is 4294967
         self.build()
