--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -139,8 +139,8 @@
         self.live: dict[int, Server] = {}
         self.failing: dict[int, Server] = {}
         self.lately: dict[int, Server] = {}
-        self.detached: set[int] = set()  # taken out by staff; and those put back and not in use again yet
-        self.returned: dict[int, Server] = {}
+        self.detached: dict[int, float] = {}  # taken out by staff, since when; and put back, not in use yet
+        self.returned: dict[int, float] = {}
         self.tick_ms, self.tick_at = 0.0, INF
         self.requests: dict[int, Request] = {}
         self.mean_load = 1.0
@@ -256,7 +256,7 @@
 
     def _detached(self, event: Detached) -> None:
         if event.server not in self.detached:
-            self.detached.add(event.server)
+            self.detached[event.server] = self.now
             self.returned.pop(event.server, None)
             self._arrange()
             leaving = list(self._server(event.server).conns.values())
@@ -268,12 +268,13 @@
             self._send_off(request)
 
     def _attached(self, event: Attached) -> None:
-        """Cold since now at the latest: the list may not tell its start for seconds."""
+        """Cold since the start that the list tells of, or since now: it may tell of it only seconds later."""
         if event.server in self.detached:
-            self.detached.discard(event.server)
-            server = self.returned[event.server] = self._server(event.server)
-            server.back_ms = server.started = self.now
-            self._renewed(server)
+            server, out_ms = self._server(event.server), self.detached.pop(event.server)
+            self.returned[server.id] = self.now
+            if server.started < out_ms:
+                server.back_ms = server.started = self.now
+                self._renewed(server)
             self._arrange()
 
     def _server(self, server: int) -> Server:
@@ -422,10 +423,10 @@
         if 2 * len(doubted) > len(self.ready):  # never leave out most of the fleet
             doubted = {}
         skip = set(doubted)
-        for back in self.returned.values():  # its keys have gone elsewhere: one shows that it serves again
-            if now - back.back_ms < BACK_MS and not back.conns and not back.doubted(now) \
-                    and self._eligible(request, back):
-                return back, True
+        for back, since in self.returned.items():  # its keys have gone elsewhere: one shows that it serves
+            s = self._server(back)
+            if now - since < BACK_MS and not (s.conns or s.doubted(now)) and self._eligible(request, s):
+                return s, True
         # near-empty counts (a restart, a storm) must not scatter keys: a group's own cost is in the floor
         floor = (FLOOR + (GROUP_COST if request.group else 0.0)) * self.mean_load
         home, share = self.settings.zone, self._share(request)
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -215,9 +215,9 @@
     def _ready(self) -> None:
         if not self.ready:
             self.ready = True
-            if self.told.inherited is not None and self.leaving is None:
+            if self.told.inherited is not None and (self.leaving is None or not self.leaving.ends):
                 self.port = adopt(self.reactor, self.told.inherited, ClientFactory(self))
-                self.generation.tell(True)
+                self.generation.tell(self.leaving is None)
             log.info("node {name}: ready", name=self.told.name)
             waiting, self._waiting = self._waiting, []
             for act in waiting:
--- a/puffindeck/net/operator.py
+++ b/puffindeck/net/operator.py
@@ -52,8 +52,9 @@
         except Exception as error:  # no yes without the deed
             log.failure("staff: call failed")
             status, text = http.INTERNAL_SERVER_ERROR, f"no: {error}"
-        log.info("staff: {method} {uri}: {status} {text}", method=self.method.decode("latin-1"),
-                 uri=self.uri[:200].decode("latin-1"), status=status, text=text)
+        if self.method != b"GET":  # readiness may be asked for many times a second
+            log.info("staff: {method} {uri}: {status} {text}", method=self.method[:20].decode("latin-1"),
+                     uri=self.uri[:200].decode("latin-1"), status=status, text=text)
         body = f"{text}\n".encode()
         self.setResponseCode(status)
         self.setHeader(b"content-type", b"text/plain; charset=utf-8")
