--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -20,8 +20,8 @@
 
 from puffindeck.interface import (
     NEVER_RAN, Action, Attached, Began, Cancel, ClientLeft, DelayTold, Detached, Effect, Ended,
-    Entry, Event, Fail, Follow, Listed, ListKind, LoadTold, Log, Move, Opened, Outcome, Refuse, Requested,
-    Retuned, Scope, Send, Settings, State, Wake, Woken,
+    Entry, Event, Fail, Follow, Listed, ListKind, LoadTold, Log, Move, Opened, Outcome, Recalled, Refuse,
+    Requested, Retuned, Scope, Send, Settings, State, Wake, Woken,
 )
 
 BOUND = 1.25  # c of the design: a server takes up to this multiple of the mean; the paper's example
@@ -155,7 +155,8 @@
             Listed: self._listed, Requested: self._requested, Opened: self._opened, Began: self._began,
             LoadTold: self._load_told, DelayTold: self._delay_told, Ended: self._ended,
             ClientLeft: self._client_left, Woken: self._woken, Detached: self._detached,
-            Attached: self._attached, Retuned: lambda event: self._tune(event.settings),
+            Attached: self._attached, Recalled: self._recalled,
+            Retuned: lambda event: self._tune(event.settings),
         }
 
     def _tune(self, settings: Settings) -> None:
@@ -267,6 +268,14 @@
         if request.server is not None and request.server.id in self.detached:
             self._send_off(request)
 
+    def ceilings(self) -> dict[int, float]:
+        """What servers have been seen to bear, for a process that follows this one."""
+        return {s.id: s.ceiling for s in self.live.values()}
+
+    def _recalled(self, event: Recalled) -> None:
+        server = self.live[event.server] = self._server(event.server)
+        server.ceiling, server.cut_ms = min(server.ceiling, event.ceiling), self.now
+
     def _attached(self, event: Attached) -> None:
         """Cold since the start that the list tells of, or since now: it may tell of it only seconds later."""
         if event.server in self.detached:
@@ -278,10 +287,7 @@
             self._arrange()
 
     def _server(self, server: int) -> Server:
-        known = self.servers.get(server)
-        if known is None:
-            known = self.servers[server] = Server(server)
-        return known
+        return self.servers.get(server) or self.servers.setdefault(server, Server(server))
 
     # Sizes, warmth and the cold budget
 
@@ -311,10 +317,9 @@
     def _cold_credit(self, server: Server) -> bool:
         """May a cold server be sent one more?
 
-        Rule 4. All gateways keep to 1/gateways of the budget; a full server is guessed to hold what this
-        gateway's servers hold now, which is less, and to fill no faster than over its warm-up. With many
-        gateways that part is far under one connection: it is saved up for all cold servers together from a
-        random debt, so that gateways spend theirs one after another, and a restart brings none.
+        Rule 4. All gateways keep to 1/gateways of the budget; a full server is guessed to hold what ours hold
+        now, which is less, and to fill over its whole warm-up. With many gateways that part is far under one
+        connection: it is saved up for all cold servers from a random debt, so that gateways take turns.
         """
         settings, passed = self.settings, self.now - self.credit_ms
         share = self.held / max(1, len(self.ready)) * settings.fall_multiple / settings.cold_ms
@@ -409,9 +414,8 @@
     def _strained_part(self, zone: int | None) -> float:
         """How many of the servers in use here, out of all of a zone, are known to be strained.
 
-        A client that comes back was cut off or moved from a server that another gateway knows to be strained,
-        and the ring leads it there again. So it passes by servers where this gateway has no connection that
-        would tell, and leaves the zone, with these odds; where none is left it waits and comes again.
+        A client that comes back was sent off by a gateway that knows its server to be strained, and the ring
+        leads it there again: with these odds it passes by servers that tell us nothing, and leaves the zone.
         """
         used = [s for s in self.live.values() if zone in (None, s.zone)]
         return sum(s.ceiling < INF for s in used) / (len(used) + 1)
@@ -441,8 +445,7 @@
         fair = (load + request.load) * self.settings.gateways / max(1e-9, size)
         for zone in zones:
             load, size = self._mean(zone, doubted)
-            # A strained fleet must not spread each group over all servers, which would all pay for it:
-            # a group's load has its place within reach or, for now, none.
+            # a strained fleet must not spread each group over all servers, which would all pay for it
             reach = WALK if not request.group else 2 + int(share * len(self.ready) * size / (
                 self.bound * max(1e-9, self.zone_sizes[None]))) + wider
             near = self._clockwise(request, zone, skip | request.tried, reach)
@@ -457,9 +460,8 @@
             for servers, mean, size in passes:
                 rest = share
                 for server in servers:
-                    # With many gateways each holds too few connections for their count to reach the bound,
-                    # and all would fill a busy group's home together: there a server takes no more than
-                    # its bounded part of the key's expected share, by a lot; the rest spills onward.
+                    # With many gateways no count reaches the bound, and all would fill a busy group's home: a
+                    # server takes its bounded part of the key's expected share, by lot; the rest spills on.
                     part = self.bound * stretch * server.size / size
                     bound = self.bound * mean * server.size
                     if bound < floor and rest * lot(request.lot, server.id) > part:
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -225,6 +225,14 @@
     server: int
 
 
+@dataclass(slots=True)
+class Recalled:
+    """A process that this one follows has seen that a server bears no more load from this gateway."""
+
+    server: int
+    ceiling: float
+
+
 @dataclass(slots=True)
 class Retuned:
     """Other settings from now on. Requests and connections keep the rules that they began with.
@@ -237,7 +245,7 @@
 
 Event = (
     Listed | Requested | Opened | Began | LoadTold | DelayTold | Ended | ClientLeft | Woken | Detached
-    | Attached | Retuned
+    | Attached | Recalled | Retuned
 )
 
 
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from datetime import timedelta
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import Factory
@@ -13,10 +15,10 @@
 from puffindeck.choice import Balancer
 from puffindeck.config import ConfigError, Quic
 from puffindeck.config import Node as Told
-from puffindeck.core.clock import Clock, span
+from puffindeck.core.clock import Clock, ms, span
 from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.engine import Engine
-from puffindeck.interface import ListKind, Settings
+from puffindeck.interface import ListKind, Recalled, Settings
 from puffindeck.net.client import ClientLine
 from puffindeck.net.directory import Directory
 from puffindeck.net.discovery import Watch
@@ -38,6 +40,7 @@
 SILENT = span(4500)  # a client's line without an answer this long: two more lines have gone unanswered since
 COME_BACK = span(150)  # when a client refused by a node without room may come again
 DROPPED = span(5000)  # how long a class that is dropped is served: its clients learn of it later
+WORD = span(500)  # how often it is left what a process that follows should know
 POLL = span(100)  # how often it is looked for what staff told another process
 
 
@@ -110,6 +113,24 @@
             log.error("upgrade: no lock, other processes are not known: {error}", error=error)
         else:
             self._look_round()
+            self._leave_word()
+
+    def _leave_word(self) -> None:
+        """For a process that may follow: it would send its first clients to strained hosts again."""
+        self.deadlines.after(WORD, self._leave_word)
+        if self.ready and self.leaving is None:
+            ceilings = self.engine.balancer.ceilings()
+            with suppress(OSError):
+                self.generation.leave_word({self.directory.name(s): c for s, c in ceilings.items()},
+                                           ms(self.deadlines.clock.now()))
+
+    def _follow_up(self) -> None:
+        """Take up what the process before this one knows, if there is one."""
+        with suppress(OSError):
+            if self.generation.others():
+                word = self.generation.word(ms(self.deadlines.clock.now()))
+                self.engine.tell(*(Recalled(self.directory.number(host), inf if c is None else c)
+                                   for host, c in word.items()))
 
     def _look_round(self) -> None:
         """While there is another process, both together have what the one node has."""
@@ -216,6 +237,7 @@
         if not self.ready:
             self.ready = True
             if self.told.inherited is not None and (self.leaving is None or not self.leaving.ends):
+                self._follow_up()
                 self.port = adopt(self.reactor, self.told.inherited, ClientFactory(self))
                 self.generation.tell(self.leaving is None)
             log.info("node {name}: ready", name=self.told.name)
--- a/puffindeck/net/upgrade.py
+++ b/puffindeck/net/upgrade.py
@@ -8,6 +8,10 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import msgspec
+
+WORD_MS = 5000.0  # what was left longer ago may hold no more
+
 
 class Other(NamedTuple):
     """Another process of this node, as its file has it."""
@@ -17,6 +21,13 @@
     descriptors: int
 
 
+class Word(msgspec.Struct):
+    """What one process leaves the next: the most load from this node that hosts have been seen to bear."""
+
+    at: float
+    ceilings: dict[str, float | None]  # null, as JSON has no infinity: no limit is known
+
+
 def descriptors() -> int:
     """How many this process has open."""
     return len(os.listdir("/dev/fd"))
@@ -75,6 +86,21 @@
         finally:
             os.close(file)
 
+    def leave_word(self, ceilings: dict[str, float | None], now: float) -> None:
+        """What a process that follows this one should know of the hosts, from this moment."""
+        if self._file >= 0:
+            draft = self._folder / f".word-{os.getpid()}"
+            draft.write_bytes(msgspec.json.encode(Word(now, ceilings)))
+            draft.replace(self._folder / "word")
+
+    def word(self, now: float) -> dict[str, float | None]:
+        """What the process before this one has left, if that is news."""
+        try:
+            word = msgspec.json.decode((self._folder / "word").read_bytes(), type=Word)
+        except (OSError, msgspec.MsgspecError):
+            return {}
+        return word.ceilings if 0 <= now - word.at < WORD_MS else {}
+
     def end(self) -> None:
         if self._file >= 0:
             (self._folder / self.name).unlink(missing_ok=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -12,9 +12,11 @@
 
 from puffindeck.choice import BOUND, FLOOR
 from puffindeck.interface import (
+    Attached,
     Began,
     ClientLeft,
     DelayTold,
+    Detached,
     Ended,
     Fail,
     Follow,
@@ -23,7 +25,9 @@
     Move,
     Opened,
     Outcome,
+    Recalled,
     Refuse,
+    Retuned,
     State,
     Woken,
 )
@@ -590,3 +594,69 @@
     other = gateway.balancer.servers[next(s for s in (1, 2, 3) if s != server.id)]
     gateway.delay(other.id, 0.3 * gateway.balancer.message_aim)
     assert other.ceiling == float("inf")
+
+
+def test_a_server_taken_out_gets_nothing_whatever_the_list_says_and_empties_one_by_one() -> None:
+    gateway = Gateway(servers=3)
+    for request in range(1, 31):
+        gateway.connect(request, key=request)
+    out = gateway.at[1]
+    standing = {r for r, server in gateway.at.items() if server == out}
+    late = next(r for r in range(31, 99) if gateway.ask(r, key=r) == out)
+    for _ in range(2):
+        gateway.do(Detached(out))
+    gateway.begin(late)  # its attempt was under way
+    moved = [a for a in gateway.actions if isinstance(a, Move)]
+    assert len(moved) < len(standing)
+    gateway.do(listed(*(entry(i) for i in (1, 2, 3)), version=2))
+    gateway.wait(1300)
+    assert {a.request for a in gateway.actions if isinstance(a, Move)} == standing | {late}
+    assert out not in {gateway.ask(r, key=r) for r in range(100, 140)}
+
+
+def test_a_server_put_back_is_cold_and_gets_the_next_connection_that_it_may() -> None:
+    for told in (0.0, 2500.0):  # its start, as the list tells it while it is out
+        gateway = Gateway(servers=3)
+        for request in range(1, 31):
+            gateway.connect(request, key=request)
+        gateway.wait(600)
+        gateway.do(Detached(1))
+        gateway.wait(2000)
+        gateway.do(listed(entry(1, started=told), entry(2), entry(3), version=2))
+        gateway.do(Attached(1))
+        server = gateway.balancer.servers[1]
+        assert server.started == (told or gateway.now)
+        assert gateway.balancer._warmth(server) < 0.5
+        first = next(r for r in range(100, 130) if gateway.ask(r, key=r) == 1 or gateway.wait(100) is None)
+        gateway.begin(first)
+        assert first < 120
+        assert not gateway.balancer.returned
+        before = len(sends(gateway.actions))
+        for request in range(200, 230):  # all at once: rule 4 holds for it as for any cold one
+            gateway.ask(request, key=request)
+        assert sum(s.server == 1 for s in sends(gateway.actions)[before:]) <= 2
+
+
+def test_retuning_leaves_open_requests_their_rules_and_attempts() -> None:
+    gateway = Gateway(servers=3)
+    gateway.ask(1, key=1)
+    strict = replace(SETTINGS.classes[0], name="strict", deadline_ms=200)
+    gateway.do(Retuned(replace(SETTINGS, classes=(SETTINGS.classes[0], strict), max_attempts=1)))
+    gateway.end(1, Outcome.CONNECT_FAILED)
+    assert gateway.tries[1] == 2
+    gateway.ask(2, key=2, cls=1)
+    assert [a for a in gateway.end(2, Outcome.CONNECT_FAILED) if isinstance(a, Refuse)]
+
+
+def test_what_the_process_before_saw_of_a_server_holds() -> None:
+    before, after = Gateway(servers=3), Gateway(servers=3)
+    for request in range(1, 31):
+        before.connect(request, group=7)
+    strained = before.at[1]
+    before.delay(strained, 900)
+    for server, ceiling in before.balancer.ceilings().items():
+        after.do(Recalled(server, ceiling))
+    for request in range(1, 31):
+        after.ask(request, group=7)
+    held = after.balancer.servers[strained]
+    assert held.load <= held.ceiling == before.balancer.servers[strained].ceiling
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -75,7 +75,13 @@
         with (patch.object(self.node, "reactor", wraps=reactor) as program,
               patch.object(node, "UPGRADE", Pace(span(1500), span(300), span(100), span(3300))),
               patch.object(program, "stop") as stop):
+            strained = self.node.engine.balancer.servers[self.node.directory.number("h0")]
+            strained.ceiling = 4.5
+            self.node.engine.balancer.live[strained.id] = strained
+            left = self.folder / "processes" / "word"
+            await self.until(lambda: left.exists() and b":4." in left.read_bytes(), "its word to the next")
             await self.made_ready(self.second)
+            self.assertLess(self.second.engine.balancer.servers[strained.id].ceiling, 5)  # it regains
             await self.until(lambda: self.node.leaving, "the older to leave")
             self.node.stop()  # SIGTERM does not begin it anew
             self.assertEqual(self.node.why_not_ready(), "stopping")
@@ -90,8 +96,8 @@
             self.assertEqual(await new.line(), b"PONG")
             self.assertEqual(len(self.second.clients), 1)
             await self.until(lambda: stop.called, "its end")
-        self.assertEqual([path.name for path in (self.folder / "processes").iterdir()],
-                         [self.second.generation.name])
+        self.assertEqual({path.name for path in (self.folder / "processes").iterdir()},
+                         {self.second.generation.name, "word"})
         again = await self.dial("PING")  # the socket has outlived it
         self.assertEqual(await again.line(), b"PONG")
 
@@ -120,6 +126,11 @@
             self.assertFalse((folder / dead.name).exists())
             first.end()
             self.assertEqual(second.others(), [])
+            second.leave_word({"h0": 4.5, "h1": None}, now=9000.0)
+            self.assertEqual(second.word(now=9100.0), {"h0": 4.5, "h1": None})
+            self.assertEqual(second.word(now=90000.0), {})  # what was left long ago
+            (folder / "word").write_text("{")
+            self.assertEqual(second.word(now=9100.0), {})
             second.end()
 
     def test_what_is_no_listening_socket_is_named(self) -> None:
