--- a/puffindeck/net/door.py
+++ b/puffindeck/net/door.py
@@ -18,7 +18,7 @@
     from puffindeck.net.client import ClientLine
 
 PART = 6  # one in this many descriptors may be held by clients at the door in any case
-NEXT = 24  # descriptors for those who ask next, and for their hosts
+NEXT = 40  # descriptors for those who ask next, and for their hosts
 SPARE = 40  # descriptors for the log, the reactor, discovery, a turn's accepts and closes under way
 ACCEPTS = 16  # connections taken in one turn of the reactor
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,11 +12,13 @@
 from puffindeck.interface import (
     NEVER_RAN,
     Action,
+    Attached,
     Began,
     Cancel,
     ClassSettings,
     ClientLeft,
     DelayTold,
+    Detached,
     Effect,
     Ended,
     Entry,
@@ -163,6 +165,7 @@
         self.wakes: list[tuple[float, int]] = []
         self.servers: dict[int, Entry] = {}
         self.told: dict[int, float] = {}  # when a server was told not ready
+        self.out: dict[int, float] = {}  # taken out by staff, since when
         self.pushes: dict[int, list[float]] = {}
         self.next_id = 1
         self.version = 1
@@ -210,6 +213,7 @@
         assert case.out is None, "two attempts out at once"
         assert len(case.attempts) < self.settings.max_attempts
         server = self.servers[action.server]
+        assert action.server not in self.out, "sent to a server taken out"
         if server.state != State.READY:
             grace_ends = self.told[action.server] + self.settings.drain_grace_ms
             assert self.now <= grace_ends, "sent to a drained server"
@@ -242,6 +246,8 @@
         """Five milliseconds: what is due, and perhaps something that happens."""
         self.now += 5
         random, events, left = self.random, list[Event](), list[int]()
+        if random.random() < 0.01:
+            self.staff()
         due = [w for w in self.wakes if w[0] <= self.now]
         self.wakes = [w for w in self.wakes if w[0] > self.now]
         events += [Woken(token) for _, token in due]
@@ -268,6 +274,18 @@
             self.cases[request].answered = True
         self.overdue()
 
+    def staff(self) -> None:
+        """Take a server out, or put one back that was restarted meanwhile."""
+        server = self.random.choice(list(self.servers))
+        since = self.out.pop(server, None)
+        if since is None:
+            self.out[server] = self.now
+            self.hand([Detached(server)])
+            return
+        if self.servers[server].started_ms < since:
+            self.servers[server] = replace(self.servers[server], started_ms=self.now)
+        self.hand([Attached(server)])
+
     def attempt_events(self, request: int, case: Case) -> list[Event]:
         attempt, number, random = case.out, len(case.attempts) - 1, self.random
         if attempt is None:
