Discovery's parsing, the directory and keys move below the fronts; config is a package

Need: a client-side plug-in reads the same list as the node and places the same keys.

Change: roster/ holds the directory, keys as numbers, and discovery's protocol without I/O (watch.py), which net/discovery.py now reads through. config/ is a package with a module a section. plugin/ becomes rpc/.

--- a/puffindeck/net/discovery.py
+++ b/puffindeck/net/discovery.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from twisted.internet import endpoints
 from twisted.internet.defer import Deferred
 from twisted.logger import Logger
@@ -15,20 +14,14 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from puffindeck.config import Members
-from puffindeck.core.clock import span
 from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Engine
 from puffindeck.interface import ListKind
-from puffindeck.net.directory import Directory
+from puffindeck.roster.directory import Directory
+from puffindeck.roster.watch import ANSWER, MOST, SILENT, WatchError, WatchState, kind
 
 log = Logger("puffindeck")
 
-PATH = "/catalog/members"
-ANSWER = span(2500)  # how long a call may go without an answer
-SILENT = span(4500)  # an empty line comes each 2 s: a watch that goes without two is broken
-DECODER = msgspec.json.Decoder(Members)
-
 
 @implementer(IAgentEndpointFactory)
 class _Endpoints:
@@ -47,7 +40,7 @@
     """The lines of a watch."""
 
     delimiter = b"\n"
-    MAX_LENGTH = 1 << 22
+    MAX_LENGTH = MOST
     transport: Any = None
 
     def __init__(self, watch: Watch) -> None:
@@ -106,18 +99,22 @@
         pool = HTTPConnectionPool(reactor, persistent=False)
         self._agent = Agent.usingEndpointFactory(reactor, _Endpoints(reactor), pool)
         self._deadlines, self._directory, self._engine = deadlines, directory, engine
-        self.version, self._heard = version, heard
+        self._state, self._heard = WatchState(version), heard
         self._call: Deferred[Any] | None = None
         self._lines: _Lines | None = None
         self._patience: Deadline | None = None
         self._stopped = False
 
+    @property
+    def version(self) -> int | None:
+        """How far the list is known."""
+        return self._state.version
+
     def ask(self) -> None:
         """Watch from what is known on. A call while one is out would cost discovery twice."""
         if self._call is not None or self._lines is not None or self._stopped:
             return
-        watch = "" if self.version is None else f"?watch=1&after={self.version}"
-        url = f"{self._base}{PATH}{watch}"
+        url = self._base + self._state.target()
         self._patience = self._deadlines.after(ANSWER, self.broken, "no answer")
         self._call = call = self._agent.request(b"GET", url.encode())
         call.addCallbacks(self._answered, self._refused)
@@ -126,13 +123,13 @@
         self._call = None
         if self._stopped:
             return
-        self._lines = lines = _Whole(self) if self.version is None else _Lines(self)
+        self._lines = lines = _Lines(self) if self._state.watching else _Whole(self)
         if response.code != 200:  # one failure, not a second one when its body ends
             lines.watch = None
             response.deliverBody(lines)
             self.broken(f"status {response.code}")
             return
-        if self.version is not None:
+        if self._state.watching:
             self._wait_on()
         response.deliverBody(lines)
 
@@ -159,13 +156,11 @@
 
     def _read(self, text: bytes) -> bool:
         try:
-            members = DECODER.decode(text)
-        except msgspec.MsgspecError as error:  # what it said is lost, so what comes after would be wrong
-            self.broken(f"a line that can't be read: {error}")
+            members = self._state.whole(text)
+        except WatchError as error:
+            self.broken(str(error))
             return False
-        self.version = members.rev
-        kind = ListKind.FULL if members.all else ListKind.CHANGES
-        self._engine.listed(kind, members.rev, self._directory.entries(members))
+        self._engine.listed(kind(members), members.rev, self._directory.entries(members))
         self._heard()
         return True
 
--- a/puffindeck/net/heads.py
+++ b/puffindeck/net/heads.py
@@ -4,9 +4,9 @@
 
 import re
 from datetime import timedelta
-from hashlib import blake2b
 
 from puffindeck.core.clock import ms, span
+from puffindeck.roster.keys import number
 
 CRLF = b"\r\n"
 MAX_LINE = 4096 - len(CRLF)
@@ -18,16 +18,6 @@
     """A line can't be read as a connection's first."""
 
 
-def number(text: bytes) -> int:
-    """A key as a number, the same at each node: hexadecimal as it stands, anything else by its hash."""
-    try:
-        if 0 < len(text) <= 16:
-            return int(text, 16)
-    except ValueError:
-        pass
-    return int.from_bytes(blake2b(text, digest_size=8).digest(), "little")
-
-
 class Head:
     """The parts of an OPEN line, as places in it."""
 
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -20,7 +20,6 @@
 from puffindeck.core.engine import Engine
 from puffindeck.interface import ListKind, Recalled, Settings
 from puffindeck.net.client import ClientLine
-from puffindeck.net.directory import Directory
 from puffindeck.net.discovery import Watch
 from puffindeck.net.door import Door, adopt, listen
 from puffindeck.net.host import Link
@@ -29,6 +28,7 @@
 from puffindeck.net.operator import CALLERS, Operator
 from puffindeck.net.records import Records
 from puffindeck.net.upgrade import Generation
+from puffindeck.roster.directory import Directory
 
 if TYPE_CHECKING:
     from puffindeck.quic.front import QuicFront
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -25,11 +25,11 @@
 from puffindeck.core.engine import Engine, Link, Request, Ticket
 from puffindeck.core.slots import Slots
 from puffindeck.interface import Outcome
-from puffindeck.net.directory import Directory
-from puffindeck.net.heads import number
 from puffindeck.quic import packets
 from puffindeck.quic.ids import Ids
 from puffindeck.quic.packets import Kind, Packet
+from puffindeck.roster.directory import Directory
+from puffindeck.roster.keys import number
 
 log = Logger("puffindeck")
 
--- a/puffindeck/plugin/endpoint.py
+++ b/puffindeck/rpc/endpoint.py
@@ -25,8 +25,8 @@
 from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Engine, Link, Request, Ticket
 from puffindeck.interface import ListKind, Outcome, Settings
-from puffindeck.net.directory import Directory
-from puffindeck.net.heads import number
+from puffindeck.roster.directory import Directory
+from puffindeck.roster.keys import number
 
 log = Logger("puffindeck")
 
