--- /dev/null
+++ b/benchmarks/rpc_cost.py
@@ -0,0 +1,61 @@
+"""What a unary call through BalancedChannel costs, against the same call on a bare grpc.aio channel.
+
+    python -m benchmarks.rpc_cost [--calls 3000] [--rounds 5]
+
+The box is a process of its own. The two take turns call by call, so that the machine's drift meets both.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import time
+from statistics import median
+
+import grpc
+
+from benchmarks.rpc_side_by_side import Part
+from benchmarks.table import table
+from puffindeck.config.members import Target
+from puffindeck.rpc.grpc import BalancedChannel
+from tests.rpc_world import Stub, keyed, told
+
+
+async def measure(calls: int, rounds: int) -> None:
+    box = await Part.start("benchmarks.rpc_parts", "boxes", "--names", "one,two,three")
+    ports = await box.hear()
+    targets = [Target(name, "SERVING", f"127.0.0.1:{both[0]}", "a", "m") for name, both in ports.items()]
+    rows = []
+    async with BalancedChannel(told(None, *targets)) as balanced:
+        key = keyed("desk 7")
+        name = (await Stub(balanced).status(b"x", metadata=key)).split(b":")[0].decode()
+        async with grpc.aio.insecure_channel(f"127.0.0.1:{ports[name][0]}") as bare:
+            stubs = {"bare": Stub(bare), "balanced": Stub(balanced)}
+            for turn in range(rounds + 1):  # the first warms up
+                took: dict[str, list[float]] = {"bare": [], "balanced": []}
+                gc.collect()
+                for _ in range(calls):
+                    for kind, stub in stubs.items():
+                        began = time.perf_counter()
+                        await stub.status(b"x", timeout=2, metadata=key)
+                        took[kind].append(1e6 * (time.perf_counter() - began))
+                if turn:
+                    middle = {kind: median(times) for kind, times in took.items()}
+                    rows.append([turn, f"{middle['bare']:.0f}", f"{middle['balanced']:.0f}",
+                                 middle["balanced"] / middle["bare"]])
+    await box.end()
+    print(f"unary calls, one at a time, {calls} of each kind a round; medians in microseconds\n")
+    print(table(["round", "bare grpc.aio", "BalancedChannel", "ratio"], rows))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--calls", type=int, default=3000)
+    parser.add_argument("--rounds", type=int, default=5)
+    given = parser.parse_args()
+    asyncio.run(measure(given.calls, given.rounds))
+
+
+if __name__ == "__main__":
+    main()
--- a/puffindeck/config/client.py
+++ b/puffindeck/config/client.py
@@ -107,7 +107,8 @@
     return name
 
 
-def _rpc(table: RpcTable, settings: Settings, folder: Path) -> Rpc:
+def rpc(table: RpcTable, settings: Settings, folder: Path) -> Rpc:
+    """The table `rpc`, checked; files that it names lie in the folder."""
     names = [c.name for c in settings.classes]
     for key, cls in (("rpc.class", table.class_ or names[0]),
                      *((f"rpc.methods.{method!r}", cls) for method, cls in table.methods.items())):
@@ -167,5 +168,5 @@
         seed=seed,
         known=file.known or Members(0, True, []),
         settings=settings,
-        rpc=_rpc(file.rpc, settings, path.parent),
+        rpc=rpc(file.rpc, settings, path.parent),
     )
--- a/puffindeck/config/tuning.py
+++ b/puffindeck/config/tuning.py
@@ -37,6 +37,13 @@
     return bound
 
 
+def _evenness(table: Any) -> float:
+    evenness = number(table, "evenness", default=0.0)
+    if evenness and evenness < 1:
+        raise ConfigError("settings: evenness must be 1 or more, or 0 for the ring as its points fall")
+    return evenness
+
+
 def settings_of(table: Any) -> Settings:
     """The settings, as the simulator's first message and a node's file have them."""
     family, prices = subtable(table, "familyInfo"), subtable(table, "prices")
@@ -68,6 +75,7 @@
         tells_load=bool(family.get("tellsLoad", False)),
         tells_delay=bool(family.get("tellsDelay", False)),
         bound=_bound(table),
+        evenness=_evenness(table),
         max_wait_ms=(
             number(table, "limits.maxRetryAfterMs", default=0.0) if limits.get("retryAfter") else 0.0
         ),
--- a/puffindeck/crowd/__init__.py
+++ b/puffindeck/crowd/__init__.py
@@ -6,5 +6,6 @@
 """
 
 from puffindeck.crowd.member import Member
+from puffindeck.crowd.ring import EvenBalancer
 
-__all__ = ["Member"]
+__all__ = ["EvenBalancer", "Member"]
--- a/puffindeck/crowd/admission.py
+++ b/puffindeck/crowd/admission.py
@@ -6,9 +6,9 @@
 by lot, with odds that come to the budget when summed over all clients, however many there are:
 
 - In steady times a server's usual share of the arrivals is at most what it can do when warm. At warmth w it
-  may be sent `multiple x w` of that share. Where connections outlive the warm-up, arrivals are rarer than
-  what fills a server over its warm-up, by (those that I hold) / (those that I began within a warm-up's
-  length).
+  may be sent `multiple x w` of that share, if they are calls that are soon done. Connections that stand may
+  come no faster than fills a server over its warm-up: that is (those that I hold) / (others that I began
+  within a warm-up's length) of their usual rate.
 - In a storm (all come within one window) a server's usual share is all that it is to hold. The budget is
   `multiple x w x window / warm-up` of that.
 
@@ -25,7 +25,9 @@
 from puffindeck.choice import lot, mixed
 from puffindeck.interface import Settings
 
-PART = 0.4  # of the budget: the rest is for chance, as lots that nobody counts scatter
+# of the budget, in a storm and in steady times: the rest is for chance, as lots that nobody counts scatter,
+# and steady arrivals scatter by themselves
+STORM_PART, STEADY_PART = 0.35, 0.25
 
 
 class Admission:
@@ -36,6 +38,7 @@
         self._begun: deque[float] = deque(maxlen=64)
         self._lost, self._lost_ms = 0, float("-inf")  # connections lost that were not begun anew yet
         self._back_ms = float("-inf")
+        self._life_ms = 0.0  # how long mine have stood of late
 
     def arrived(self, now: float) -> None:
         """A request has come, for whichever server."""
@@ -48,6 +51,10 @@
         """A connection was lost: others may have lost theirs at the same moment."""
         self._lost, self._lost_ms = min(self._lost + 1, 64), now
 
+    def ended(self, life_ms: float) -> None:
+        """A connection or call of mine has ended after so long."""
+        self._life_ms += (life_ms - self._life_ms) * 0.2
+
     def storm(self, now: float, settings: Settings, returning: bool) -> bool:
         """May all clients be coming at once, as far as this one can tell?"""
         if now - self._lost_ms >= settings.cold_ms:
@@ -60,11 +67,13 @@
 
         `warmth` is the part of its capacity that it has, `held` how many connections this client holds.
         """
-        part = PART * settings.fall_multiple * warmth
+        budget = settings.fall_multiple * warmth
         if self.storm(now, settings, returning):
-            return min(1.0, part * settings.fall_ms / max(1.0, settings.cold_ms))
-        recent = sum(now - at < settings.cold_ms for at in self._begun)
-        return min(1.0, part * max(1.0, held / recent))
+            return min(1.0, STORM_PART * budget * settings.fall_ms / max(1.0, settings.cold_ms))
+        if self._life_ms < settings.fall_ms and not held:
+            return min(1.0, STEADY_PART * budget)
+        others = sum(now - at < settings.cold_ms for at in self._begun) - 1
+        return min(1.0, STEADY_PART * budget * max(held, 1) / others)
 
     def admits(
         self, now: float, settings: Settings, server: int, key: int, warmth: float, held: int, returning: bool
--- a/puffindeck/crowd/member.py
+++ b/puffindeck/crowd/member.py
@@ -8,27 +8,45 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import replace
+from heapq import heappop
 
-from puffindeck.choice import INF, TICK_MS, Balancer, Request, Server, mixed
+from puffindeck.choice import FLOOR, INF, TICK_MS, Request, Server, mixed
 from puffindeck.crowd.admission import Admission
-from puffindeck.crowd.even import Ring, evened, owner
-from puffindeck.interface import Attached, Ended, Listed, ListKind, Outcome, Requested, Settings
+from puffindeck.crowd.even import Ring, evened
+from puffindeck.crowd.ring import EvenBalancer
+from puffindeck.interface import (
+    Action,
+    Attached,
+    Ended,
+    Event,
+    Listed,
+    ListKind,
+    Outcome,
+    Requested,
+    Settings,
+)
 
-EVENNESS = 1.03  # c for shares of the ring: 1.05 was 0.01 more alike and 0.02 less even, 1.0 the reverse
 STALE_MS = 6000.0  # discovery's news counts as told after 6 s: what was heard longer ago is held to be stale
 
 
-class Member(Balancer):
+class Member(EvenBalancer):
     """One client's decisions. It always asks for the list itself."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
+        self._warm: dict[int | None, Ring] = {}  # the whole rings, with the cold ones' arcs handed on
         super().__init__(replace(settings, must_ask=True), seed)
         self.admission = Admission(mixed(self.random.getrandbits(63)))
         self.heard_ms = -INF  # when the roster last gave a sign of life
         self._cold: frozenset[int] = frozenset()
-        self._whole: dict[int | None, Ring] = {}  # by zone: all ready servers at their full size
-        self._warm: dict[int | None, Ring] = {}  # the same, with the cold ones' arcs handed on
+
+    def handle(self, now_ms: float, events: Iterable[Event]) -> list[Action]:
+        """As a gateway's. Deadlines of calls that are done are dropped first, so that they bring no wakes."""
+        timers = self.timers
+        while timers and isinstance(timers[0][3], Request) and timers[0][3].id not in self.requests:
+            heappop(timers)
+        return super().handle(now_ms, events)
 
     # The roster, and how old it is
 
@@ -45,8 +63,11 @@
             self.heard(self.now)
         super()._listed(event)
 
+    def _tune(self, settings: Settings) -> None:
+        super()._tune(settings)
+        self._warm.clear()
+
     def arrange(self) -> None:
-        self._whole.clear()
         self._warm.clear()
         super().arrange()
 
@@ -57,61 +78,41 @@
 
     # Placing
 
-    def _sizes(self, zone: int | None) -> dict[int, float]:
-        """What is due to each ready server of a zone when warm."""
-        weighted = self.settings.weighted
-        return {
-            s.id: s.weight if weighted and s.weight > 0 else 1.0
-            for s in self.ready.values() if zone in (None, s.zone)
-        }
-
     def _cold_now(self) -> frozenset[int]:
         if self.all_warm:
             return frozenset()
         return frozenset(s.id for s in self.ready.values() if s.started > 0 and self._warmth(s) < 1.0)
 
-    def rings(self, zone: int | None) -> tuple[Ring, Ring]:
-        """The evened ring of a zone (None: of all), and the one without those that are cold now."""
+    def walked(self, zone: int | None) -> Ring:
+        """The evened ring without those that are cold now: their arcs are handed on evenly, too."""
         cold = self._cold_now()
         if cold != self._cold:
             self._cold = cold
             self._warm.clear()
-        if zone not in self._whole:
-            sizes = self._sizes(zone)
-            here = [point for point in self.ring if self.owners[point] in sizes]
-            self._whole[zone] = evened(here, self.owners, sizes, EVENNESS)
         if zone not in self._warm:
-            warm = {server: size for server, size in self._sizes(zone).items() if server not in cold}
-            whole = self._whole[zone]
-            self._warm[zone] = evened(*whole, warm, EVENNESS) if warm and cold else whole
-        return self._whole[zone], self._warm[zone]
-
-    def _first_zone(self) -> int | None:
-        home = self.settings.zone
-        return home if self.settings.cross_zone_price > 0 and home in self.zone_sizes else None
-
-    def home(self, request: Request) -> Server | None:
-        """Where a request's key is at home while all are warm."""
-        whole, _ = self.rings(self._first_zone())
-        return self.servers[owner(whole, request.hash >> 34)] if whole[0] else None
-
-    def clockwise(self, request: Request, zone: int | None, skip: set[int], reach: int) -> list[Server]:
-        base = self.ring, self.owners
-        self.ring, self.owners = self.rings(zone)[1]
-        try:
-            return super().clockwise(request, zone, skip, reach)
-        finally:
-            self.ring, self.owners = base
+            warm = {server: size for server, size in self.sizes(zone).items() if server not in cold}
+            whole = self.whole(zone)
+            self._warm[zone] = evened(*whole, warm, self.evenness) if warm and cold else whole
+        return self._warm[zone]
 
     def walk(self, request: Request) -> tuple[Server | None, bool]:
         home = self.home(request)
-        if (
-            home is not None and home.id in self._cold and home.id not in request.tried
-            and not home.doubted(self.now) and self._eligible(request, home)
-        ):
-            return home, True
+        if home is not None and home.id not in request.tried:
+            if home.id in self._cold_now():
+                if not home.doubted(self.now) and self._eligible(request, home):
+                    return home, True
+            elif self._plain(request, home):
+                return home, True
         return super().walk(request)
 
+    def _plain(self, request: Request, home: Server) -> bool:
+        """Is it the usual case, in which the walk ends at its first step? Told apart to save time."""
+        return (
+            home.load < FLOOR * self.mean_load and home.ceiling == INF and not home.fails
+            and home.suspect_until <= self.now and request.ran is None and not request.returning
+            and not request.mid_flow and not self.returned
+        )
+
     def cold_credit(self, request: Request, server: Server) -> bool:
         """Only a cold server's own keys go there, and of those the part that it may be sent by now."""
         if server is not self.home(request):
@@ -149,8 +150,10 @@
 
     def _ended(self, event: Ended) -> None:
         request = self.requests.get(event.request)
-        if event.outcome == Outcome.RESET and request is not None and request.begun:
-            self.admission.lost(self.now)
+        if request is not None and request.begun:
+            self.admission.ended(event.took_ms)
+            if event.outcome == Outcome.RESET:
+                self.admission.lost(self.now)
         super()._ended(event)
 
     def _trust(self, server: Server) -> None:
--- a/puffindeck/importer/__main__.py
+++ b/puffindeck/importer/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from argparse import ArgumentParser
 from pathlib import Path
@@ -20,7 +21,7 @@
     chosen = arguments.parse_args()
     try:
         text = Path(chosen.file).read_text()
-        table, notes = haproxy.convert(chosen.file, text, chosen.backend)
+        table, notes = haproxy.convert(chosen.file, text, chosen.backend, os.environ)
     except (OSError, UnicodeDecodeError) as error:
         print(f"puffindeck.importer: {chosen.file}: {error}", file=sys.stderr)
         return 2
--- a/puffindeck/importer/haproxy.py
+++ b/puffindeck/importer/haproxy.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import re
-import shlex
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from ipaddress import ip_address
 from typing import Any
 
+from puffindeck.importer import lexer
+
 SECTIONS = ("global", "defaults", "frontend", "backend", "listen")
 OTHERS = ("userlist", "peers", "resolvers", "cache", "mailers", "program", "ring", "http-errors")
 UNITS = {"us": 0.001, "ms": 1.0, "s": 1000.0, "m": 60000.0, "h": 3_600_000.0, "d": 86_400_000.0, "": 1.0}
@@ -52,28 +53,27 @@
         return (self.base.all() if self.base else []) + self.lines
 
 
-def statements(file: str, text: str) -> list[Line]:
+def statements(file: str, text: str, environment: Mapping[str, str]) -> list[Line]:
     """The lines that say something, as words."""
-    found = []
-    for i, line in enumerate(text.splitlines(), 1):
-        at = f"{file}:{i}"
-        try:
-            words = shlex.split(line, comments=True)
-        except ValueError as error:
-            raise ImportError_(f"{at}: {error}") from None
-        if words:
-            found.append(Line(at, words))
-    return found
+    try:
+        read = lexer.lines(file, text, environment)
+    except lexer.SyntaxFault as error:
+        raise ImportError_(str(error)) from None
+    for line in read:
+        for word in line.words:
+            if word.unset:
+                raise ImportError_(f"{line.at}: {word.raw}: {word.unset[0]} is not set in the environment")
+    return [Line(line.at, line.texts) for line in read if line.words]
 
 
-def sections(file: str, text: str, notes: list[str]) -> list[Section]:
+def sections(file: str, text: str, notes: list[str], environment: Mapping[str, str]) -> list[Section]:
     """The sections in their order, each with the defaults that hold for it."""
     found: list[Section] = []
     defaults: dict[str, Section] = {}
     last: Section | None = None
     current: Section | None = None
     skipped = False
-    for line in statements(file, text):
+    for line in statements(file, text, environment):
         word, *rest = line.words
         if word in SECTIONS:
             name = rest[0] if rest else ""
@@ -238,10 +238,15 @@
         self.targets.append(target)
 
 
-def convert(file: str, text: str, wanted: str = "") -> tuple[dict[str, Any], list[str]]:
-    """An operator's file as a table, and a line for whatever it can't carry over."""
+def convert(
+    file: str, text: str, wanted: str = "", environment: Mapping[str, str] | None = None
+) -> tuple[dict[str, Any], list[str]]:
+    """An operator's file as a table, and a line for whatever it can't carry over.
+
+    `environment` has the variables that the file names in weak quotes; one that is not there is an error.
+    """
     notes: list[str] = []
-    found = sections(file, text, notes)
+    found = sections(file, text, notes, environment or {})
     backends = [s for s in found if s.kind in ("backend", "listen")]
     if wanted:
         backends = [s for s in backends if s.name == wanted]
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -99,6 +99,7 @@
     tells_load: bool = False  # servers tell a connection's load, or how long a message takes there now
     tells_delay: bool = False
     bound: float = 0.0  # c of the design, where an operator sets it; 0: the module's own
+    evenness: float = 0.0  # the most of a server's share of the ring, by its due; 0: as its points fall
     max_wait_ms: float = 0.0  # the longest wait that a refused client follows; 0: it is told none
     zones: tuple[str, ...] = ()  # the names behind the numbers of zones, and of kinds of machine
     kinds: tuple[str, ...] = ()
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -56,6 +56,15 @@
         return ClientLine(self.node)
 
 
+def balancer_of(settings: Settings, seed: int) -> Balancer:
+    """The decision module, on an evened ring where the settings ask for one."""
+    if not settings.evenness:
+        return Balancer(settings, seed)
+    from puffindeck.crowd import EvenBalancer  # stays out of a node that has no use for it
+
+    return EvenBalancer(settings, seed)
+
+
 class Node:
     """The program's parts, joined."""
 
@@ -67,7 +76,7 @@
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}  # those served, and their numbers
         self.named = set(self.classes)  # less those that were dropped just now
         self.connect_patience = span(settings.connect_timeout_ms)
-        balancer = Balancer(settings, told.seed)
+        balancer = balancer_of(settings, told.seed)
         self.engine = Engine(balancer, settings, self.deadlines, self._follow)
         self.watch = self._watch(told.known.rev) if told.discovery else None
         self.clients: set[ClientLine] = set()
@@ -197,6 +206,8 @@
         if later:
             log.warn("reload: these take a restart: {keys}", keys=", ".join(later))
         before, self.told = self.told, told
+        if bool(told.settings.evenness) != bool(before.settings.evenness):
+            log.warn("reload: settings.evenness is taken up or given up at a restart only")
         if told.settings != before.settings:
             self._retune(told.settings)
         self.door.limit(told.sockets)
--- a/puffindeck/roster/keys.py
+++ b/puffindeck/roster/keys.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from hashlib import blake2b
 
 
+@lru_cache(4096)  # clients ask with the same keys again and again
 def number(text: bytes) -> int:
     """A key as a number: hexadecimal as it stands, anything else by its hash."""
     try:
--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -19,14 +19,15 @@
     from puffindeck.rpc.calls import BalancedCall
 
 SETTLE_S = 0.003  # a status without a head comes right behind an empty one: how long it is waited for
+TURNS = 3  # of the loop, from the status to whoever awaits the library's call
 NOTHING: Any = object()  # no answer has come
 
 
 class Attempt:
     """Connects, sends, and tells the engine how it went. `inner` is the library's own call, once begun."""
 
-    __slots__ = ("_address", "_call", "_engine", "_gave_up", "_pump", "_server", "_sub", "_task", "_ticket",
-                 "_until", "inner", "response")
+    __slots__ = ("_address", "_broken", "_call", "_engine", "_gave_up", "_pump", "_server", "_sub", "_task",
+                 "_ticket", "_until", "inner", "response")
 
     def __init__(
         self, call: BalancedCall, ticket: Ticket, server: int, address: tuple[str, int], until: timedelta
@@ -37,19 +38,47 @@
         self._pump: asyncio.Task[None] | None = None
         self.inner: Any = None
         self.response: Any = NOTHING
+        self._broken: Exception | None = None
         self._sub = call.pool.take(address)
-        self._task = call.shared.loop.create_task(self._run())
+        if self._sub.ready() and self._engine.may_reach(server):
+            self._begin()  # at once: a turn of the loop later would cost a tenth of a call
+        self._task: asyncio.Task[None] | None = None
+        if self.inner is not None and not call.method.response_stream and call.replay is None:
+            self.inner.add_done_callback(self._inner_ended)
+        else:
+            self._watch()
+
+    def _watch(self) -> None:
+        self._task = self._call.shared.loop.create_task(self._run())
         self._task.add_done_callback(self._over)  # also of a task that was cancelled before it began
 
+    def _inner_ended(self, _: Any) -> None:
+        self._look(TURNS)
+
+    def _look(self, turns: int) -> None:
+        """The library's call has ended: unless whoever awaits ours takes the answer, a task sees to it."""
+        if self.response is not NOTHING or self._gave_up:
+            self._over()
+        elif turns:
+            self._call.shared.loop.call_soon(self._look, turns - 1)
+        else:
+            self._watch()
+
     def give_up(self) -> None:
         """End it; nothing more is told of it."""
         if not self._gave_up:
             self._gave_up = True
             if self.inner is not None:
                 self.inner.cancel()
-            if self._task is not asyncio.current_task():
+            if self._task is not None and self._task is not asyncio.current_task():
                 self._task.cancel()
 
+    def _begin(self) -> None:
+        try:
+            self.inner = self._call.start(self._sub)
+        except Exception as error:  # metadata that gRPC can't read, for one
+            self._broken = error
+
     async def _run(self) -> None:
         try:
             await self._go()
@@ -58,23 +87,20 @@
             if not self._gave_up:
                 self._call.broke(error)
 
-    def _over(self, task: asyncio.Task[None]) -> None:
+    def _over(self, _: Any = None) -> None:
         if self._pump is not None:
             self._pump.cancel()
         self._call.pool.give_back(self._address, self._sub)
 
     async def _go(self) -> None:
-        call, sub = self._call, self._sub
-        if not sub.ready():
-            settings, now = call.shared.engine.settings, call.shared.clock.now()
-            patience = min(span(settings.connect_timeout_ms), self._until - now)
-            if not await sub.connect(max(ZERO, patience)):
+        call = self._call
+        if self.inner is None and self._broken is None:
+            if not await self._connected():
                 self._end(Outcome.CONNECT_FAILED)
                 return
-        if not self._engine.may_reach(self._server):  # it drains, as was told while we connected
-            self._end(Outcome.CONNECT_FAILED)
-            return
-        self.inner = call.start(sub)
+            self._begin()
+        if self._broken is not None:
+            raise self._broken
         if call.replay is not None:
             call.replay.restart()
             self._pump = call.shared.loop.create_task(self._send(call.replay))
@@ -83,6 +109,15 @@
         else:
             await self._unary()
 
+    async def _connected(self) -> bool:
+        """Until the connection stands. False also if the server drains, as was told meanwhile."""
+        if not self._sub.ready():
+            shared = self._call.shared
+            patience = min(span(self._engine.settings.connect_timeout_ms), self._until - shared.clock.now())
+            if not await self._sub.connect(max(ZERO, patience)):
+                return False
+        return self._engine.may_reach(self._server)
+
     async def _send(self, replay: Any) -> None:
         """Write what the application has written, in its order, from the start."""
         try:
@@ -101,19 +136,24 @@
 
     async def _unary(self) -> None:
         try:
-            self.response = await self.inner
+            self.served(await self.inner)
         except AioRpcError:
             await self._judge(heard=self._call.serves(self))
         except asyncio.CancelledError:
             if self._gave_up or not self.inner.done():
                 raise
             await self._judge(heard=self._call.serves(self))  # the server's own CANCELLED
-        else:
-            if self._call.serves(self):  # committed before, as more was sent than is kept
-                self._call.answered()
-            elif not self._engine.began(self._ticket):
-                return
-            self._end(Outcome.OK)
+
+    def served(self, response: Any) -> None:
+        """The one answer is there. Whoever waits for the call may be told of it before we are."""
+        if self.response is not NOTHING or self._gave_up:
+            return
+        self.response = response
+        if self._call.serves(self):  # committed before, as more was sent than is kept
+            self._call.answered()
+        elif not self._engine.began(self._ticket):
+            return
+        self._end(Outcome.OK)
 
     async def _stream(self) -> None:
         head = await self.inner.initial_metadata()
--- a/puffindeck/rpc/calls.py
+++ b/puffindeck/rpc/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterable, AsyncIterator, Callable, Generator
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -48,6 +49,7 @@
         self._ended = ended
         self._final: Final | None = None
         self._error: Exception | None = None
+        self._attempt: Attempt | None = None  # the last one
         self._link: Attempt | None = None  # what serves it
         self._waiters: list[asyncio.Future[None]] = []
         self._callbacks: list[Callable[[Any], None]] = []
@@ -101,7 +103,8 @@
         if address is None:
             self.shared.engine.ended(ticket, Outcome.CONNECT_FAILED)
             return None
-        return Attempt(self, ticket, server, address, until)
+        self._attempt = Attempt(self, ticket, server, address, until)
+        return self._attempt
 
     def start(self, sub: Subchannel) -> Any:
         """The library's own call, on the channel to one server."""
@@ -319,10 +322,19 @@
 
     async def _result(self) -> Any:
         try:
+            attempt = self._attempt
+            if self._final is None and attempt is not None and attempt.inner is not None:
+                # most calls are served by the first server: its answer is taken where it is waited for, which
+                # saves two turns of the loop
+                with suppress(AioRpcError):  # the module hears of it, and says what comes next
+                    attempt.served(await attempt.inner)
             final = await self._settled()
         except asyncio.CancelledError:
-            self.cancel()
-            raise
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self.cancel()
+                raise
+            final = await self._settled()  # the library's call was cancelled, ours has a status of its own
         self._raise(final)
         assert self._link is not None
         return self._link.response
@@ -350,8 +362,11 @@
         except AioRpcError:
             pass  # the library's own words on the end; ours are final
         except asyncio.CancelledError:
-            if self._final is None and (self._link is None or not self._link.inner.done()):
-                self.cancel()  # whoever reads was cancelled, as grpc.aio has it
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                # whoever reads was cancelled, and the call with it, as grpc.aio has it: no word of the
+                # server's
+                self.cancel()
                 raise
         final = await self._settled()
         self._raise(final)
--- a/tests/test_rpc_grpc.py
+++ b/tests/test_rpc_grpc.py
@@ -359,6 +359,18 @@
             await reading
         self.assertTrue(call.cancelled())
         await self.nothing_left(channel)
+        self.assertEqual(channel._started()[0].member.admission._lost, 0)  # not taken for a lost connection
+
+    async def test_reading_with_a_time_limit_of_ones_own(self) -> None:
+        channel, stub = await self.begin("one")
+        call = stub.watch(b"")
+        await call.read()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.01):
+                await call.read()
+        self.assertTrue(call.cancelled())
+        await self.nothing_left(channel)
+        self.assertEqual(channel._started()[0].member.admission._lost, 0)
 
 
 class Interceptors(Story):
