--- a/puffindeck/rpc/subchannels.py
+++ b/puffindeck/rpc/subchannels.py
@@ -22,6 +22,10 @@
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.lb_policy_name", "pick_first"),
     ("grpc.enable_http_proxy", 0),
+    # whether a server is tried is the module's to say: the library's own pauses must not outlast its
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
 )
 
 
--- a/tests/test_importer.py
+++ b/tests/test_importer.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
+import time
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from unittest import TestCase
 
 import pytest
 
 from puffindeck import config
-from puffindeck.importer import haproxy
+from puffindeck.importer import haproxy, lexer
+from puffindeck.importer.keywords import table
 
 ROOT = Path(__file__).parent.parent
 GOOD = """\
@@ -44,11 +48,18 @@
 def test_all_that_counts_is_carried_over_and_the_rest_named(tmp_path: Path) -> None:
     (tmp_path / "h.cfg").write_text(GOOD)
     done = subprocess.run([sys.executable, "-m", "puffindeck.importer", str(tmp_path / "h.cfg"),
-                           "-o", str(tmp_path / "o.toml")], capture_output=True, text=True, cwd=ROOT)
+                           "-o", str(tmp_path / "o.toml"), "--report", str(tmp_path / "r.json")],
+                          capture_output=True, text=True, cwd=ROOT)
     assert done.returncode == 0, done.stderr
-    lines = [int(note.split(":")[1]) for note in done.stderr.splitlines()]
-    assert lines == [3, 7, 20, 23, 24]
-    assert "h.cfg:20: server b: ssl verify none: not carried over" in done.stderr
+    report = json.loads((tmp_path / "r.json").read_text())
+    verdicts = {int(v["at"].rsplit(":", 1)[1]): v for v in report["verdicts"]}
+    assert sorted(verdicts) == list(range(1, GOOD.count("\n") + 1))  # each statement once
+    refused = [line for line, v in verdicts.items() if v["verdict"] == "refused"]
+    assert refused == [20, 23, 24]
+    assert [line for line, v in verdicts.items() if v["traffic"]] == [20, 23, 24]
+    assert verdicts[20]["says"] == "ssl: no TLS towards servers; verify: no TLS towards servers"
+    assert (verdicts[3]["verdict"], verdicts[7]["verdict"]) == ("harmless", "changed")
+    assert "h.cfg:20: refused, traffic is affected: server b" in done.stderr
     told = config.node({}, str(tmp_path / "o.toml"))
     assert told.listen == ("127.0.0.1", 7000)
     assert told.sockets == 4064
@@ -92,6 +103,77 @@
         text = "backend a\n server x 127.0.0.1:1\nbackend b\n server y 127.0.0.1:2\n"
         with self.assertRaises(haproxy.ImportError_):
             haproxy.convert("h.cfg", text)
-        table, notes = haproxy.convert("h.cfg", text, "b")
+        table, account = haproxy.convert("h.cfg", text, "b")
         self.assertEqual([t["uid"] for t in table["known"]["targets"]], ["y"])
-        self.assertIn("h.cfg:1: backend a: not carried over", notes)
+        self.assertEqual([e.verdict for e in account.entries.values()],
+                         ["traffic", "refused", "changed", "carried"])
+
+    def test_a_refusal_that_traffic_feels_is_an_end_of_its_own_and_writes_nothing(self) -> None:
+        with TemporaryDirectory() as folder:
+            source, out = Path(folder, "h.cfg"), Path(folder, "o.toml")
+            out.write_text("as it was")
+            command = [sys.executable, "-m", "puffindeck.importer", str(source), "-o", str(out), "--strict"]
+            for text, code in (("backend b\n server a 127.0.0.1:1\n use-server a if TRUE\n", 3),
+                               ("backend b\n server a 127.0.0.1:1\n server 'a\n", 2),
+                               ("backend b\n \xe9\n", 2)):
+                source.write_text(text, encoding="latin-1")
+                done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT)
+                self.assertEqual((done.returncode, out.read_text()), (code, "as it was"), done.stderr)
+            self.assertIn("h.cfg:2: not UTF-8", done.stderr)
+            source.write_text("backend b\n server a 127.0.0.1:1 check\n")
+            self.assertEqual(subprocess.run(command, capture_output=True, cwd=ROOT).returncode, 0)
+            self.assertIn("127.0.0.1:1", out.read_text())
+
+
+BASE = "backend b\n server a 127.0.0.1:1\n"
+
+
+@pytest.mark.parametrize("place", ["global", "proxy", "server", "bind"])
+def test_every_keyword_of_the_table_gets_its_verdict_alone_and_together(place: str) -> None:
+    def text(*names: str) -> str:
+        if place == "global":
+            return "global\n" + "".join(f" {name} 1\n" for name in names) + BASE
+        if place == "proxy":
+            return BASE + "".join(f" {name} {'1s' if 'timeout' in name else 'x'}\n" for name in names)
+        if place == "server":
+            follow = {name: " 1" * table()[place][name].words for name in names}
+            return BASE + "".join(f" server s{i} 127.0.0.1:{i + 2} {name}{follow[name]}\n"
+                                  for i, name in enumerate(names))
+        return BASE + "".join(f"frontend f{i}\n bind :{i + 1} {name}\n default_backend b\n"
+                              for i, name in enumerate(names))
+
+    names = [name.replace("*", "x") for name in table()[place] if name != "*"]
+    if place == "server":
+        names = [name for name in table()[place] if not name.endswith("*")]
+    for some in (*([name] for name in names), names):
+        _, account = haproxy.convert("h.cfg", text(*some))
+        assert not account.silent()
+        assert len(account.entries) == sum(bool(line.strip()) for line in text(*some).splitlines())
+        assert sum(account.counts().values()) == len(account.entries)
+        assert not [e for e in account.entries.values() if "not a keyword" in "; ".join(e.says)]
+
+
+@pytest.mark.parametrize(("line", "verdict", "says"), [
+    ("server x 127.0.0.1:2 backup", "traffic", "left out"),
+    ("no option forwardfor", "harmless", "not here at all"),
+    ("option redispatch", "changed", "another server"),
+    ("fly me-to-the-moon", "traffic", "not a keyword"),
+    ("server x 127.0.0.1:2 check teleport on weight 3", "traffic", "teleport: not an option"),
+    ("timeout client 1m", "changed", "within 7 s"),
+    ("maxconn 9", "refused", "whole node"),
+    ("source 10.0.0.1", "traffic", "own address"),
+    ("balance source", "changed", "first line"),
+])
+def test_what_looks_alike_is_told_apart(line: str, verdict: str, says: str) -> None:
+    made, account = haproxy.convert("h.cfg", f"{BASE} {line}\n")
+    entry = account.entries["h.cfg:3"]
+    assert (entry.verdict, says in "; ".join(entry.says)) == (verdict, True), entry
+    if "backup" in line:  # it must not take traffic, as it would not there
+        assert [target["uid"] for target in made["known"]["targets"]] == ["a"]
+
+
+def test_twenty_thousand_lines_are_read_in_time() -> None:
+    text = BASE + "".join(f" server s{i} 10.0.0.1:{i + 1} check weight {i % 256}\n" for i in range(20000))
+    began = time.perf_counter()
+    lexer.lines("h.cfg", text)
+    assert time.perf_counter() - began < 20  # about 0.5 s; a machine that is busy takes longer
--- a/tests/test_rpc_grpc.py
+++ b/tests/test_rpc_grpc.py
@@ -246,6 +246,25 @@
         self.assertIsNotNone(come_back(self.error(caught)))
         await self.nothing_left(channel)
 
+    async def test_many_calls_at_once_find_a_box_that_is_back(self) -> None:
+        """No one of them may open its connection anew, as the others use it, too."""
+        channel, stub = await self.begin("one")
+        box = self.world.boxes["one"]
+        await stub.status(b"")
+        await box.stop()
+        codes = await asyncio.gather(*(stub.status(b"", timeout=1).code() for _ in range(5)))
+        self.assertNotIn(grpc.StatusCode.OK, codes)
+        await box.start()
+
+        async def served() -> bool:
+            codes = await asyncio.gather(*(stub.status(b"", timeout=1).code() for _ in range(5)))
+            return codes == [grpc.StatusCode.OK] * 5
+
+        async with asyncio.timeout(8):
+            while not await served():
+                await asyncio.sleep(0.1)
+        await self.nothing_left(channel)
+
     async def test_a_cancelled_call_leaves_no_attempt_out(self) -> None:
         channel, stub = await self.begin("one", "two")
         for box in self.world.boxes.values():
