--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -14,7 +14,7 @@
 from puffindeck.core.engine import Request, Ticket
 from puffindeck.interface import Outcome
 from puffindeck.net.heads import CRLF, MAX_LINE, Head, HeadError
-from puffindeck.net.host import LINGER, Link
+from puffindeck.net.host import LINGER, Link, break_off
 
 if TYPE_CHECKING:
     from puffindeck.net.node import Node
@@ -273,7 +273,7 @@
         else:
             self._over = True
             self._drop_id()
-            self.transport.abortConnection()
+            break_off(self.transport, self.deadlines, lambda: self in self.node.clients)
 
     def move(self) -> bool:
         """Send the client away between two lines."""
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -24,7 +24,8 @@
 LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
 SHORT = 64  # bytes kept of a line that a host has not ended yet
 ENDS = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
-ANSWERS = {**ENDS, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL, b"SYNTAX": Outcome.ERROR}
+# a BYE before UP is none of these: the client would be left without an answer
+ANSWERS = {b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL, b"SYNTAX": Outcome.ERROR}
 
 
 class Waiting(Protocol):
@@ -53,6 +54,34 @@
     deadlines.after(LINGER, lambda: connected() and transport.abortConnection())
 
 
+@implementer(IPullProducer)
+class _Break:
+    """Asked for more when it is registered, and again once every byte before it is written."""
+
+    def __init__(self, transport: Any) -> None:
+        self._transport, self._asked = transport, False
+
+    def resumeProducing(self) -> None:
+        if self._asked:
+            self._transport.abortConnection()
+        else:
+            self._asked = True
+            self._transport.startWriting()
+
+    def stopProducing(self) -> None:
+        """The transport is gone."""
+
+
+def break_off(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
+    """End a connection as a break ends one, but not before what was said has left: it may be the answer.
+
+    A transport writes in a later turn of the reactor, and an abort throws away what it still holds.
+    """
+    transport.unregisterProducer()
+    transport.registerProducer(_Break(transport), False)
+    deadlines.after(LINGER, lambda: connected() and transport.abortConnection())
+
+
 @implementer(IPullProducer)
 class HostLine(LineReceiver):
     """The lines of a host."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -139,6 +139,32 @@
 class FailureStories(Story):
     """What goes wrong, and what the module hears of it."""
 
+    async def test_a_host_that_says_bye_before_anything_else_is_no_answer(self) -> None:
+        # the engine took the request for served to its end, and nobody told the client
+        self.build()
+        client = await self.client(ASK)
+        for _ in range(2):
+            _, host = await self.host_of()
+            await host.line()
+            host.write(b"BYE\r\n")
+            host.transport.loseConnection()
+        _, host = await self.host_of()
+        await host.line()
+        host.write(b"UP r1\r\n")
+        self.assertEqual(await client.line(), b"UP r1")
+
+    async def test_a_host_that_answers_and_breaks_at_once_has_answered(self) -> None:
+        # the full trial lost such a request: the break reached the client before the answer had left
+        self.build(hosts=6)
+        for _ in range(3):
+            client = await self.client(ASK)
+            _, host = await self.host_of()
+            await host.line()
+            host.transport.getHandle().send(b"UP r1\r\n")
+            host.transport.abortConnection()
+            self.assertEqual(await client.line(), b"UP r1")
+            self.assertEqual(await client.ended(), "ConnectionLost")
+
     async def test_each_outcome_of_the_table(self) -> None:
         self.build(hosts=1, max_attempts=1)
         self.node.connect_patience = span(200)
