A starting node opens its port when its start is through, so that no request waits it out

Seen: with a line for each first line read, the 122 restarted nodes read their first ones 0.34 to 0.50 s after their port had opened; the client's time had run since, the node's began there. At fault: __main__.py, which called node.start before reactor.run.

Change: the port opens in a later turn of the reactor, 5 ms on, with the start's cost behind it.

Tests: the port opens after a turn of the reactor (fails without the change); a taken port still ends the start with 2.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -14,11 +14,12 @@
 from twisted.logger import FileLogObserver, globalLogBeginner
 
 from puffindeck import config
-from puffindeck.core.clock import Clock
+from puffindeck.core.clock import Clock, span
 from puffindeck.net.logs import line
 from puffindeck.net.node import Node
 
 reactor: Any = default_reactor
+FIRST_TURN = span(5)
 
 
 def main() -> int:
@@ -42,15 +43,27 @@
     def reload() -> None:
         node.reload(lambda now: config.again(now, os.environ, chosen.config))
 
-    try:
-        node.start()
-    except CannotListenError as error:
-        print(f"puffindeck: {error}", file=sys.stderr)
-        return 2
+    failed = False
+
+    def begin() -> None:
+        nonlocal failed
+        if node.leaving is not None:  # told to stop before it had begun
+            return
+        try:
+            node.start()
+        except CannotListenError as error:
+            print(f"puffindeck: {error}", file=sys.stderr)
+            failed = True
+            reactor.stop()
+
+    # Clients may connect, and count their time, from the moment the port is open. So it opens in a later turn
+    # of the reactor, when all that a start costs has passed: what waits for a node's first turn is answered
+    # late by as long as that took.
+    reactor.callLater(FIRST_TURN.total_seconds(), begin)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda number, frame: reactor.callFromThread(node.stop))
     reactor.run(installSignalHandlers=False)
-    return 0
+    return 2 if failed else 0
 
 
 if __name__ == "__main__":
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -187,3 +188,45 @@
         node.stop()
         self.assertLess(own, 27_000, "kB of its own")
 
+
+class StartTest(unittest.TestCase):
+    """When the clients' port opens."""
+
+    def begin(self, folder: Path, program: str, **environment: str) -> subprocess.CompletedProcess[str]:
+        (folder / "config.json").write_text((ROOT / "examples/node.json").read_text())
+        told = {"EDGE_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
+                "EDGE_DISCOVERY": "127.0.0.1:9", "EDGE_OPERATOR": f"127.0.0.1:{free_port()}", **environment}
+        return subprocess.run([sys.executable, "-c", program], cwd=ROOT, env={**os.environ, **told},
+                              capture_output=True, text=True, timeout=60)
+
+    def test_the_port_opens_only_when_the_start_has_passed(self) -> None:
+        """The fleet trial lost requests whose time had run 0.5 s before a starting node came to read them."""
+        program = (
+            "from puffindeck import __main__ as program\n"
+            "from puffindeck.net import node\n"
+            "reactor, listen, turns = program.reactor, node.listen, []\n"
+            "wait = reactor.doIteration\n"
+            "def turn(delay):\n"
+            "    wait(delay)\n"
+            "    turns.append(delay)\n"
+            "def opens(*told):\n"
+            "    print('turns before the port opens:', len(turns), flush=True)\n"
+            "    reactor.callLater(0, reactor.stop)\n"
+            "    return listen(*told)\n"
+            "reactor.doIteration, node.listen = turn, opens\n"
+            "program.main()\n"
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            done = self.begin(Path(folder), program, EDGE_LISTEN=f"127.0.0.1:{free_port()}")
+        first = next(line for line in done.stdout.splitlines() if line.startswith("turns"))
+        self.assertGreaterEqual(int(first.split()[-1]), 1, done.stderr)
+
+    def test_a_port_that_is_taken_ends_the_start(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            program = "import sys; from puffindeck.__main__ import main; sys.exit(main())"
+            done = self.begin(Path(folder), program, EDGE_LISTEN=address)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("Couldn't listen on", done.stderr)
