Attempts are given up on evidence that it is this server, not at the aim while all are slow

Cause: choice.py, _send, cut an attempt at max(aim, mean + 4 deviations) of the set-ups this node had seen. One that sees three requests in ten seconds learns that mean far too slowly: after a reconnect all set-ups took seconds, each node gave its attempts up at 0.3 to 0.8 s, and the hosts and the store did the work for nobody.

Change: an attempt is sent with all the time left. When the aim has passed, and each half of it again, it is cancelled if two other servers (one, if this one failed before) have set up what was sent later. Where attempts can't be cancelled, half of the time is waited. A client of the gRPC plug-in waits half where nothing tells.

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -81,6 +81,7 @@
     suspect_until = reset_ms = 0.0
     ceiling, cut_ms = INF, -INF  # the most load it has been seen to bear; when last cut
     delay, delay_ms, failed_ms, good_ms = 0.0, -INF, -INF, -INF
+    newest_ms = -INF  # when the newest of the attempts that came up was sent
     back_ms = -INF  # when it was last put back
     push = push_ms = 0.0  # what it was sent while cold, fading over the time in which it may fall
 
@@ -148,7 +149,6 @@
         self.seen = 0.0
         self.short: dict[int, tuple[float, float, int]] = {}  # groups without a place: since, last, reach
         self.tenants: dict[int, int] = {}
-        self.setup_ms, self.setup_dev = 0.0, 0.0
         self.pending = 0  # attempts out whose connections do not stand yet, and how many there may be
         self.window, self.window_cut_ms = INF, -INF
         self.on: dict[type[Any], Callable[[Any], None]] = {
@@ -406,10 +406,7 @@
         for s in self.live.values():
             if s.id in self.ready and zone in (None, s.zone) and s.id not in doubted:
                 load += s.load
-        for s in doubted.values():
-            if zone in (None, s.zone):
-                size -= s.size
-        return load, size
+        return load, size - sum(s.size for s in doubted.values() if zone in (None, s.zone))
 
     def _strained_part(self, zone: int | None) -> float:
         """How many of the servers in use here, out of all of a zone, are known to be strained.
@@ -519,17 +516,16 @@
 
     def _over_share(self, request: Request) -> bool:
         """Does this gateway hold more of the tenant's connections than its part of the tenant's share?"""
-        quotas = self.settings.tenant_connections
-        if request.tenant >= len(quotas):
-            return False
-        return self.tenants.get(request.tenant, 0) > quotas[request.tenant] / self.settings.gateways
+        quotas = self.settings.tenant_connections[request.tenant:request.tenant + 1]
+        return any(self.tenants[request.tenant] > quota / self.settings.gateways for quota in quotas)
 
     def _send(self, request: Request, server: Server) -> None:
-        left = request.deadline - self.now
-        timeout = left
+        left = timeout = request.deadline - self.now
         if request.rules.effect != Effect.UNSAFE and request.attempts + 1 < request.most:
-            # short enough that another try fits, long enough when all set-ups take long
-            timeout = min(left, max(request.rules.aim_ms, self.setup_ms + 4 * self.setup_dev))
+            if self.settings.can_cancel:  # what is slow, this server or all, shows only later
+                self._at(self.now + request.rules.aim_ms, self._late, (request, request.attempts + 1))
+            else:  # so that another try fits
+                timeout = min(left, max(request.rules.aim_ms, left / 2))
         if server.started > 0 and self._warmth(server) < 1.0:
             push = max(0.25, request.load / self.mean_load)
             server.push += push
@@ -617,7 +613,7 @@
         server.good_ms = self.now
         self.lately[server.id] = server
         self.returned.pop(server.id, None)
-        self._setup_took(event.took_ms)
+        server.newest_ms = max(server.newest_ms, request.sent_ms)
         for other in request.failed_at:  # what one server serves the others could have served
             if other is not server:
                 self._failed(other)
@@ -626,9 +622,20 @@
         else:
             self._leave_out(request)
 
-    def _setup_took(self, took: float) -> None:
-        self.setup_dev += (abs(took - self.setup_ms) - self.setup_dev) * 0.1
-        self.setup_ms += (took - self.setup_ms) * 0.1
+    def _late(self, sent: tuple[Request, int]) -> None:
+        """An attempt cut off while all set-ups are slow is work for nobody, and the next one more of it.
+
+        Another try comes only where others, asked later, have set up meanwhile: one if this one is on trial.
+        """
+        (request, attempt), server = sent, sent[0].server
+        if request.attempts != attempt or request.begun or request.answered or server is None:
+            return
+        quicker = sum(s.newest_ms > request.sent_ms for s in self.lately.values())
+        if quicker >= (1 if server.fails else 2) and server.newest_ms < request.sent_ms:
+            self._failed(server)
+            self.actions.append(Cancel(request.id, attempt - 1))
+        else:
+            self._at(self.now + request.rules.aim_ms / 2, self._late, sent)
 
     def _ended(self, event: Ended) -> None:
         request = self.requests.get(event.request)
@@ -682,11 +689,7 @@
 
     def _drop(self, request: Request) -> None:
         del self.requests[request.id]
-        left = self.tenants[request.tenant] - 1
-        if left:
-            self.tenants[request.tenant] = left
-        else:
-            del self.tenants[request.tenant]
+        self.tenants[request.tenant] -= 1
 
     # Health: a server is judged by what its attempts and connections come to
 
@@ -710,11 +713,8 @@
             # a request that no server can read or use must not cost each its count: evidence is that another
             # serves it
             request.failed_at.append(server)
-        elif outcome == Outcome.TIMEOUT and not begun:
-            least = min(request.rules.aim_ms, self.setup_ms)
-            if event.took_ms >= least:  # one with less time than set-ups take tells nothing
-                self._setup_took(event.took_ms)
-                self._failed(server)
+        elif outcome == Outcome.TIMEOUT and not begun and event.took_ms >= request.rules.aim_ms:
+            self._failed(server)  # one with less time tells nothing
 
     def _failed(self, server: Server) -> None:
         server.failed_ms = self.now
--- a/puffindeck/crowd/member.py
+++ b/puffindeck/crowd/member.py
@@ -19,6 +19,7 @@
 from puffindeck.interface import (
     Action,
     Attached,
+    Cancel,
     Ended,
     Event,
     Listed,
@@ -142,6 +143,20 @@
         else:
             super()._place(request)
 
+    def _late(self, sent: tuple[Request, int]) -> None:
+        """A client seldom sees other calls beside one, so half its time is waited where nothing tells.
+
+        A gateway then waits on, as work given up is done all the same there; a server of calls hears of it.
+        """
+        (request, attempt), server = sent, sent[0].server
+        open_still = request.attempts == attempt and not (request.begun or request.answered)
+        half = (request.sent_ms + request.deadline) / 2
+        if open_still and server is not None and self.now >= half:
+            self._failed(server)
+            self.actions.append(Cancel(request.id, attempt - 1))
+        else:
+            super()._late(sent)
+
     def _come_back(self, request: Request) -> float:
         """By this client's own lot: numbers of requests are alike in all clients."""
         return min(self.settings.max_wait_ms, TICK_MS * (0.5 + self.random.random()))
--- /dev/null
+++ b/tests/storeworld.py
@@ -0,0 +1,148 @@
+"""Many gateways on virtual time, and stand-in hosts that all set connections up at one shared store.
+
+The store takes one set-up after another and does not see who has given up: work for nobody holds up the rest.
+A host can also be grey: it takes whatever comes and never answers.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any
+
+from puffindeck.choice import Balancer
+from puffindeck.interface import (
+    Action,
+    Began,
+    Cancel,
+    Ended,
+    Event,
+    Fail,
+    Listed,
+    ListKind,
+    Move,
+    Outcome,
+    Refuse,
+    Requested,
+    Send,
+    Settings,
+    Wake,
+    Woken,
+)
+from tests.world import entry
+
+
+class Client:
+    """One client: it asks until it is served, a while after each failure."""
+
+    def __init__(self, gateway: int, key: int, came: float) -> None:
+        self.gateway, self.key, self.came = gateway, key, came
+        self.up: float | None = None
+        self.asked = 0
+
+
+class Attempt:
+    """One attempt, from its send until it has ended."""
+
+    def __init__(self, client: Client, server: int, number: int, sent: float) -> None:
+        self.client, self.server, self.number, self.sent = client, server, number, sent
+        self.over = False
+
+
+class StoreWorld:
+    """Gateways, hosts, the store, and clients."""
+
+    def __init__(
+        self, settings: Settings, gateways: int, hosts: int, setup_ms: float, seed: int = 1, grey: int = 0
+    ) -> None:
+        self.settings, self.setup_ms, self.grey = settings, setup_ms, grey
+        self.random = Random(seed)
+        self.balancers = [Balancer(settings, self.random.randrange(1 << 32)) for _ in range(gateways)]
+        self.now = 0.0
+        self.queue: deque[tuple[int, Attempt]] = deque()  # what waits for the store
+        self.busy = False
+        self.attempts = 0
+        self.out: list[dict[int, Attempt]] = [{} for _ in range(gateways)]
+        self.tries: list[dict[int, int]] = [{} for _ in range(gateways)]
+        self.clients: dict[tuple[int, int], Client] = {}
+        self.all: list[Client] = []
+        self._due: list[tuple[float, int, Any, tuple[Any, ...]]] = []
+        self._order, self._ids = count(), count(1)
+        for gateway in range(gateways):
+            self.tell(gateway, Listed(ListKind.FULL, 1, [entry(i) for i in range(1, hosts + 1)]))
+
+    def at(self, when: float, act: Any, *what: Any) -> None:
+        heappush(self._due, (when, next(self._order), act, what))
+
+    def run(self, until: float) -> None:
+        while self._due and self._due[0][0] <= until:
+            self.now, _, act, what = heappop(self._due)
+            act(*what)
+        self.now = until
+
+    def come(self, when: float, gateway: int, key: int) -> None:
+        """A client, from this moment on."""
+        client = Client(gateway, key, when)
+        self.all.append(client)
+        self.at(when, self.ask, client)
+
+    def ask(self, client: Client) -> None:
+        client.asked += 1
+        request = next(self._ids)
+        self.clients[client.gateway, request] = client
+        left = self.settings.classes[0].deadline_ms
+        self.tell(client.gateway, Requested(request, 0, 0, client.key, left, 0.0, 0))
+
+    def tell(self, gateway: int, event: Event) -> None:
+        for action in self.balancers[gateway].handle(self.now, [event]):
+            self.do(gateway, action)
+
+    def do(self, gateway: int, action: Action) -> None:
+        if isinstance(action, Wake):
+            self.at(self.now + action.in_ms, self.tell, gateway, Woken(action.token))
+        elif isinstance(action, Send):
+            assert action.request not in self.out[gateway], "two attempts at once"
+            number = self.tries[gateway].get(action.request, 0)
+            self.tries[gateway][action.request] = number + 1
+            attempt = Attempt(self.clients[gateway, action.request], action.server, number, self.now)
+            self.out[gateway][action.request] = attempt
+            self.attempts += 1
+            self.at(self.now + action.timeout_ms, self.end, action.request, attempt, Outcome.TIMEOUT)
+            if action.server != self.grey:
+                self.queue.append((action.request, attempt))
+                self.work()
+        elif isinstance(action, Cancel):
+            attempt = self.out[gateway][action.request]
+            self.at(self.now, self.end, action.request, attempt, Outcome.CANCELLED)
+        elif isinstance(action, (Refuse, Fail)):
+            client = self.clients[gateway, action.request]
+            self.at(self.now + self.random.uniform(500, 1500), self.ask, client)
+        assert not isinstance(action, Move)
+
+    def end(self, request: int, attempt: Attempt, outcome: Outcome) -> None:
+        if attempt.over:
+            return
+        attempt.over = True
+        gateway = attempt.client.gateway
+        del self.out[gateway][request]
+        final, took = attempt.client.up is not None, self.now - attempt.sent
+        self.tell(gateway, Ended(request, outcome, attempt.server, attempt.number, final, took))
+
+    def work(self) -> None:
+        if not self.busy and self.queue:
+            self.busy = True
+            self.at(self.now + self.setup_ms, self.done, *self.queue.popleft())
+
+    def done(self, request: int, attempt: Attempt) -> None:
+        """Set up, be it for nobody."""
+        self.busy = False
+        if not attempt.over:
+            attempt.over = True
+            client = attempt.client
+            del self.out[client.gateway][request]
+            client.up = self.now
+            took = self.now - attempt.sent
+            self.tell(client.gateway, Began(request, attempt.server, took, attempt.number))
+        self.work()
