Routing with pools, tiers of backups and limits; HAProxy's backends, ACLs and states arrive in it

Need: an operator who comes from HAProxy has several backends, ways that lead to them and servers that stand in for others; one set of servers could hold none of it, and backup servers had to be left out.

Change: puffindeck/routing decides, without I/O or clock, the route (conditions on address, port, listener, class, usable servers), the pool and its tier; one instance of the decision module places on each tier by its own rules. Commands `puffindeck run|check|import haproxy` on click; log lines as JSON by a key. Nothing of it is loaded on the platform.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -15,18 +15,18 @@
 
 from puffindeck import config
 from puffindeck.core.clock import Clock, span
-from puffindeck.net.logs import line
+from puffindeck.net.logs import json_line, line
 from puffindeck.net.node import Node
 
 reactor: Any = default_reactor
 FIRST_TURN = span(5)
 
 
-def main() -> int:
+def main(given: list[str] | None = None) -> int:
     """Run until told to stop. Configuration that can't be used ends it with one line."""
     arguments = ArgumentParser(prog="puffindeck", description="One real node.")
     arguments.add_argument("--config", default="", metavar="FILE", help="an operator's file, for EDGE_CONFIG")
-    chosen = arguments.parse_args()
+    chosen = arguments.parse_args(given)
     # Before the file is read: a change of it that is told from here on is not missed. What a handler asks for
     # is done once the reactor runs.
     signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(lambda: reload()))
@@ -35,7 +35,7 @@
     except config.ConfigError as error:
         print(f"puffindeck: {error}", file=sys.stderr)
         return 2
-    observer: Any = FileLogObserver(sys.stdout, line)
+    observer: Any = FileLogObserver(sys.stdout, json_line if told.json_logs else line)
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
     gc.freeze()  # what was loaded stays; the collector need not look at it again
     node = Node(reactor, told, Clock())
--- /dev/null
+++ b/puffindeck/cli/commands.py
@@ -0,0 +1,134 @@
+"""The commands, their options and exit codes.
+
+0: done; 2: something can't be read, written or used, and nothing was written; 3: `import --strict`, and
+something is refused that traffic would feel.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from puffindeck import config
+from puffindeck.importer import haproxy
+from puffindeck.importer.account import Account
+from puffindeck.importer.command import replaced, texts
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+
+
+class Stop(click.ClickException):
+    """An end with one line that says why."""
+
+    exit_code = 2
+
+    def show(self, file: Any = None) -> None:
+        click.echo(f"puffindeck: {self.message}", err=True)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="puffindeck", message="%(version)s")
+def main() -> None:
+    """A balancer for long-lived connections."""
+
+
+@main.command()
+@click.option(
+    "--config", "file", type=FILE, help="An operator's file (TOML), in place of what EDGE_CONFIG names."
+)
+def run(file: Path | None) -> None:
+    """Run one node until SIGTERM."""
+    from puffindeck.__main__ import main as node  # installs the reactor
+
+    sys.exit(node(["--config", str(file)] if file else []))
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def check(file: Path) -> None:
+    """Read an operator's file as a node would, and say what it has. No socket is opened."""
+    try:
+        told = config.node({}, str(file))
+    except config.ConfigError as error:
+        raise Stop(str(error)) from None
+    host, port = told.listen
+    click.echo(
+        f"{file}: node {told.name} on {host}:{port}, {len(told.known.targets)} servers, classes "
+        f"{', '.join(c.name for c in told.settings.classes)}"
+    )
+    if told.routing is None:
+        return
+    for name, (where, number) in told.routing.listeners.items():
+        click.echo(f"  listener {name} on {where}:{number}")
+    listed = [target.uid for target in told.known.targets]
+    for pool in told.routing.pools:
+        tiers = "; then ".join(", ".join(tier) for tier in pool.tiers)
+        click.echo(f"  pool {pool.name}: {tiers}")
+        if told.discovery is None:
+            lost = [
+                s for tier in pool.tiers for s in tier if "*" not in s and "?" not in s and s not in listed
+            ]
+            if lost:
+                raise Stop(f"{file}: routing.pools.{pool.name}: {lost[0]} is not in known")
+    for i, route in enumerate(told.routing.table.routes):
+        click.echo(f"  route {i + 1}: {route.pool}{' under conditions' if route.when else ''}")
+
+
+@main.group("import")
+def import_() -> None:
+    """Make an operator's file of another program's configuration."""
+
+
+@import_.command("haproxy")
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("-o", "--output", type=FILE, help="Where to write; standard output if left out.")
+@click.option("--report", type=FILE, help="Where to write the account of every statement, as JSON.")
+@click.option("--state", type=FILE, help="A file of servers' states, as `show servers state` writes it.")
+@click.option("--backend", default="", help="The only backend to import, with its frontends.")
+@click.option("--strict", is_flag=True, help="Write nothing and exit with 3 where traffic is affected.")
+@click.option(
+    "--table", "table_", is_flag=True, help="Print the verdict on every statement, not on some only."
+)
+def import_haproxy(
+    files: tuple[Path, ...],
+    output: Path | None,
+    report: Path | None,
+    state: Path | None,
+    backend: str,
+    strict: bool,
+    table_: bool,
+) -> None:
+    """Read HAProxy configuration FILES in their order (of a folder all *.cfg, by name)."""
+    try:
+        read = texts(files)
+        held = texts([state])[0] if state else None
+        made, account = haproxy.convert_files(read, backend, os.environ, held)
+        told(account, table_)
+        if report:
+            replaced(report, msgspec.json.format(msgspec.json.encode(account.report())) + b"\n")
+        if strict and account.affects_traffic():
+            sys.exit(3)
+        written = msgspec.toml.encode(made)
+        if output:
+            replaced(output, written)
+        else:
+            sys.stdout.buffer.write(written)
+    except haproxy.ImportError_ as error:
+        raise Stop(str(error)) from None
+    except OSError as error:
+        raise Stop(f"{error.filename or files[0]}: {error.strerror}") from None
+
+
+def told(account: Account, every: bool) -> None:
+    """The account for people, on standard error."""
+    for line in account.lines(every):
+        click.echo(line, err=True)
+    counts = account.counts()
+    verdicts = ", ".join(f"{counts[v]} {v}" for v in ("carried", "changed", "refused", "harmless"))
+    click.echo(f"{len(account.entries)} statements: {verdicts}", err=True)
+
--- a/puffindeck/config/nodefile.py
+++ b/puffindeck/config/nodefile.py
@@ -14,6 +14,7 @@
 from puffindeck.config.checks import ConfigError, address
 from puffindeck.config.members import Members
 from puffindeck.config.quicfront import Quic, QuicTable, quic
+from puffindeck.config.routing import RoutingTable, routing
 from puffindeck.config.tuning import settings_of
 from puffindeck.interface import Settings
 
@@ -38,6 +39,8 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     known: Members | None = None
     quic: QuicTable | None = None
+    routing: RoutingTable | None = None
+    log: str = "text"
 
 
 class Node(msgspec.Struct, frozen=True):
@@ -51,7 +54,9 @@
     known: Members
     settings: Settings
     quic: Quic | None = None
+    routing: Any = None  # puffindeck.routing.Routing, which a node without one does not load
     operator: tuple[str, int] | None = None  # None: no second address
+    json_logs: bool = False  # log lines as JSON
     inherited: int | None = None  # the descriptor of a clients' socket that others hold too
     folder: Path = Path(gettempdir())  # where records are kept that outlive the process
     file: NodeFile | None = None  # as it was read: what a reload compares with
@@ -92,7 +97,11 @@
         raise ConfigError(f"seed must be a hexadecimal number, not {file.seed!r}") from None
     if file.limits.sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets must be {LEAST_SOCKETS} or more")
+    if file.log not in ("text", "json"):
+        raise ConfigError(f"log must be text or json, not {file.log!r}")
     settings = settings_of(file.settings)
+    if file.routing and settings.evenness:
+        raise ConfigError("routing: settings.evenness holds for one list of servers, not for pools")
     names = [c.name for c in settings.classes]
     if len(set(names)) < len(names):
         raise ConfigError("settings: classes must have different names")
@@ -110,6 +119,8 @@
         known=file.known or Members(0, True, []),
         settings=settings,
         quic=quic(file.quic, settings) if file.quic else None,
+        routing=routing(file.routing) if file.routing else None,
+        json_logs=file.log == "json",
         operator=address(operator, "EDGE_OPERATOR") if operator else None,
         inherited=descriptor(environment.get("EDGE_INHERITED_FD", "")),
         folder=Path(environment.get("TMPDIR") or gettempdir()) / f"puffindeck-{name.encode().hex()}",
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -15,7 +15,6 @@
 
 from twisted.logger import Logger
 
-from puffindeck.choice import Balancer
 from puffindeck.core.clock import ZERO, ms, span
 from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.slots import Slots
@@ -30,6 +29,7 @@
     Ended,
     Entry,
     Event,
+    Facts,
     Fail,
     Follow,
     Listed,
@@ -55,6 +55,14 @@
 DRAIN_MARGIN = span(100)  # how long before the end of a drain's grace nothing more is begun
 
 
+class Decisions(Protocol):
+    """The decision module, or one for each pool."""
+
+    def handle(self, now_ms: float, events: Iterable[Event]) -> list[Action]: ...
+
+    def ceilings(self) -> dict[int, float]: ...
+
+
 class Ticket(NamedTuple):
     """An attempt: its request's number in the table, and its own among the request's."""
 
@@ -97,6 +105,7 @@
     hint: float = 0.0
     group: int = 0
     returning: bool = False
+    facts: Facts | None = None  # what routes may go by
 
 
 class Held:
@@ -119,9 +128,10 @@
     """One gateway: its decision module and the requests it has taken."""
 
     def __init__(
-        self, balancer: Balancer, settings: Settings, deadlines: Deadlines, follow: Callable[[], None]
+        self, balancer: Decisions, settings: Settings, deadlines: Deadlines, follow: Callable[[], None]
     ) -> None:
-        self.balancer, self.settings, self.deadlines, self.follow = balancer, settings, deadlines, follow
+        self.balancer: Any = balancer
+        self.settings, self.deadlines, self.follow = settings, deadlines, follow
         self.clock = deadlines.clock
         self.held: Slots[Held] = Slots()
         self._events: deque[Event] = deque()
@@ -154,7 +164,8 @@
 
     def _decide(self, batch: Iterable[Event]) -> list[Action]:
         try:
-            return self.balancer.handle(ms(self.clock.now()), batch)
+            actions: list[Action] = self.balancer.handle(ms(self.clock.now()), batch)
+            return actions
         except Exception:  # each request's guard still answers it in time
             log.failure("decision failed")
             return []
@@ -230,7 +241,7 @@
         held.number = number = self.held.add(held)
         held.guard = self.deadlines.at(deadline + LATE, self._overdue, number)
         self.tell(Requested(number, asked.cls, 0, asked.key, ms(asked.left), asked.hint, asked.group,
-                            returning=asked.returning))
+                            returning=asked.returning, facts=asked.facts))
         return number
 
     def opened(self, client: Client, asked: Request, server: int) -> Ticket:
--- a/puffindeck/importer/account.py
+++ b/puffindeck/importer/account.py
@@ -62,10 +62,11 @@
             ],
         }
 
-    def lines(self) -> list[str]:
-        """For people: what was changed or refused, a line each; what traffic feels is marked."""
+    def lines(self, every: bool = False) -> list[str]:
+        """For people: what was changed or refused, or all, a line each; what traffic feels is marked."""
         return [
             f"{e.at}: {'refused, traffic is affected' if e.verdict == 'traffic' else e.verdict}: "
-            f"{' '.join(e.words[:3])}: {'; '.join(e.says)}"
-            for e in self.entries.values() if VERDICTS.index(e.verdict) >= VERDICTS.index("changed")
+            f"{' '.join(e.words[:3])}{': ' if e.says else ''}{'; '.join(e.says)}"
+            for e in self.entries.values()
+            if every or VERDICTS.index(e.verdict) >= VERDICTS.index("changed")
         ]
--- a/puffindeck/importer/keywords.py
+++ b/puffindeck/importer/keywords.py
@@ -29,6 +29,7 @@
                     for name, fate in names.items()} for place, names in read.items()}
 
 
+@cache
 def fate(place: str, *words: str) -> Fate | None:
     """What becomes of a statement that begins with these words; None if it is not known."""
     names = table()[place]
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -130,6 +130,17 @@
     entries: list[Entry]
 
 
+@dataclass(slots=True, frozen=True)
+class Facts:
+    """What a front knows of who asks, for routes. What it does not know is empty or 0."""
+
+    source: str = ""  # the client's IP address and port
+    source_port: int = 0
+    port: int = 0  # the port that it came to, and the name of the listener there
+    listener: str = ""
+    server_name: str = ""  # of TLS, where a front sees it
+
+
 @dataclass(slots=True)
 class Requested:
     """A client asks for a connection."""
@@ -143,6 +154,7 @@
     group: int
     mid_flow: bool = False
     returning: bool = False
+    facts: Facts | None = None
 
 
 @dataclass(slots=True)
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -12,7 +12,7 @@
 from puffindeck.core.deadlines import Deadline
 from puffindeck.core.engine import Link as CoreLink
 from puffindeck.core.engine import Request, Ticket
-from puffindeck.interface import Outcome
+from puffindeck.interface import Facts, Outcome
 from puffindeck.net.heads import CRLF, MAX_LINE, Head, HeadError
 from puffindeck.net.host import LINGER, Link, break_off
 
@@ -36,7 +36,8 @@
     MAX_LENGTH = MAX_LINE
     transport: Any
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, listener: str = "") -> None:
+        self.listener = listener
         self.node, self.engine, self.deadlines = node, node.engine, node.deadlines
         self.request = 0
         self.link: Link | None = None
@@ -99,7 +100,8 @@
         self.node.door.asks(self)
         self.setRawMode()
         left = head.left or ZERO
-        asked = Request(cls, head.key, left, head.hint, head.group, head.returning)
+        facts = self._facts() if self.node.told.routing is not None else None
+        asked = Request(cls, head.key, left, head.hint, head.group, head.returning, facts)
         if head.at:
             self._server = self.node.directory.number(head.at)
             self._until = self.deadlines.clock.now() + AT_WAIT
@@ -111,6 +113,11 @@
         else:
             self.request = self.engine.request(self, asked)
 
+    def _facts(self) -> Facts:
+        """What routes may go by."""
+        peer, here = self.transport.getPeer(), self.transport.getHost()
+        return Facts(peer.host, peer.port, here.port, self.listener)
+
     def lineLengthExceeded(self, line: bytes) -> None:
         if not self._over:
             self._turn_away("over 4 KiB")
--- a/puffindeck/net/logs.py
+++ b/puffindeck/net/logs.py
@@ -5,6 +5,7 @@
 from datetime import UTC, datetime
 from typing import Any
 
+import msgspec
 from twisted.logger import LogEvent, Logger, LogLevel, eventAsText
 
 from puffindeck.core.clock import span
@@ -14,14 +15,35 @@
 LINES = 20  # of one kind in a period
 
 
+def _at(event: LogEvent) -> str:
+    return datetime.fromtimestamp(event["log_time"], UTC).strftime("%Y-%m-%dT%H:%M:%S.%f")[:-3] + "Z"
+
+
+def _small_talk(event: LogEvent) -> bool:
+    """A library's, that nobody on call needs."""
+    return event.get("log_namespace") != "puffindeck" and bool(event["log_level"] < LogLevel.warn)
+
+
 def line(event: LogEvent) -> str | None:
     """An event as a line, and a traceback behind it if there is one. Libraries' small talk is left out."""
-    level = event["log_level"]
-    if event.get("log_namespace") != "puffindeck" and level < LogLevel.warn:
+    if _small_talk(event):
         return None
-    at = datetime.fromtimestamp(event["log_time"], UTC).strftime("%Y-%m-%dT%H:%M:%S.%f")[:-3]
     text = eventAsText(event, includeTimestamp=False, includeSystem=False).rstrip()
-    return f"{at}Z {level.name} {text}\n"
+    return f"{_at(event)} {event['log_level'].name} {text}\n"
+
+
+def json_line(event: LogEvent) -> str | None:
+    """The same as JSON: `time`, `level`, `event` (the words, with fields' names), `text`, and the fields."""
+    if _small_talk(event):
+        return None
+    fields = {key: value for key, value in event.items() if not key.startswith("log_")}
+    text = eventAsText(event, includeTimestamp=False, includeSystem=False, includeTraceback=False).rstrip()
+    told: dict[str, Any] = {"time": _at(event), "level": event["log_level"].name,
+                            "event": event.get("log_format") or "", "text": text, **fields}
+    failure = event.get("log_failure")
+    if failure is not None:
+        told["traceback"] = failure.getTraceback()
+    return msgspec.json.encode(told, enc_hook=str).decode() + "\n"
 
 
 class Few:
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -49,15 +49,20 @@
 
     noisy = False
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, node: Node, listener: str = "listen") -> None:
+        self.node, self.listener = node, listener
 
     def buildProtocol(self, addr: object) -> ClientLine:
-        return ClientLine(self.node)
+        return ClientLine(self.node, self.listener)
 
 
-def balancer_of(settings: Settings, seed: int) -> Balancer:
-    """The decision module, on an evened ring where the settings ask for one."""
+def balancer_of(told: Told, directory: Directory) -> Any:
+    """The decision module; one for each tier where there are pools; on an evened ring if asked."""
+    settings, seed = told.settings, told.seed
+    if told.routing is not None:
+        from puffindeck.routing import Pooled
+
+        return Pooled(told.routing, settings, seed, directory.number, directory.name)
     if not settings.evenness:
         return Balancer(settings, seed)
     from puffindeck.crowd import EvenBalancer  # stays out of a node that has no use for it
@@ -76,7 +81,7 @@
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}  # those served, and their numbers
         self.named = set(self.classes)  # less those that were dropped just now
         self.connect_patience = span(settings.connect_timeout_ms)
-        balancer = balancer_of(settings, told.seed)
+        balancer = balancer_of(told, self.directory)
         self.engine = Engine(balancer, settings, self.deadlines, self._follow)
         self.watch = self._watch(told.known.rev) if told.discovery else None
         self.clients: set[ClientLine] = set()
@@ -91,6 +96,7 @@
         self.records, self.detached = Records(told.folder / "detached"), set[str]()
         self.generation = Generation(told.folder / "processes")
         self.port: Any = None
+        self.more_ports: list[Any] = []  # of listeners that routes tell apart
         self.operator = Operator(self, self.deadlines)
         self.operator_port: Any = None
         self.quic: QuicFront | None = None
@@ -102,6 +108,11 @@
             self.port = listen(self.reactor, self.told.listen, ClientFactory(self), BACKLOG)
         else:
             self._join()
+        for name, address in (self.told.routing.listeners.items() if self.told.routing else ()):
+            opened = listen(self.reactor, address, ClientFactory(self, name), BACKLOG)
+            self.more_ports.append(opened)
+            log.info("node {node}: listener {name} on {host}:{port}", node=self.told.name, name=name,
+                     host=address[0], port=opened.getHost().port)
         known = self.told.known
         self.engine.listed(ListKind.CACHED, known.rev, self.directory.entries(known))
         if self.told.quic is not None:
@@ -368,8 +379,9 @@
             self._stop_accepting()
 
     def _stop_accepting(self) -> None:
-        if self.port is not None and self.port.connected:
-            self.port.stopListening()
+        for port in (self.port, *self.more_ports):
+            if port is not None and port.connected:
+                port.stopListening()
 
     def _stopped(self) -> None:
         self.ended = True
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -24,7 +24,7 @@
 from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.engine import Engine, Link, Request, Ticket
 from puffindeck.core.slots import Slots
-from puffindeck.interface import Outcome
+from puffindeck.interface import Facts, Outcome
 from puffindeck.quic import packets
 from puffindeck.quic.ids import Ids
 from puffindeck.quic.packets import Kind, Packet
@@ -361,7 +361,8 @@
 
     def _asked(self, address: Address, left: timedelta) -> Request:
         """The key is the client's host: it comes back to the box that may know it."""
-        return Request(self.told.cls, number(address[0].encode()), left)
+        facts = Facts(address[0], address[1], self.told.listen[1], "quic")
+        return Request(self.told.cls, number(address[0].encode()), left, facts=facts)
 
     def _take_over(self, address: Address, packet: Packet, datagram: bytes) -> None:
         """A connection set up at another address, or through another node, with an id that names its box.
--- /dev/null
+++ b/puffindeck/routing/pools.py
@@ -0,0 +1,55 @@
+"""What pools are, as an operator sets them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from fnmatch import fnmatchcase
+
+from puffindeck.interface import Settings
+from puffindeck.routing.table import RouteTable
+
+
+@dataclass(frozen=True)
+class Pool:
+    """Servers that serve the same, by the names that the list has for them (or patterns with * and ?).
+
+    `tiers` are tried in their order: a later one serves only while no server of those before is fit.
+    """
+
+    name: str
+    tiers: tuple[tuple[str, ...], ...]
+    limit: int = 0  # connections of this node in the pool at most; 0: no limit
+    server_limits: Mapping[str, int] = field(default_factory=dict)  # the same for single servers
+    drained: tuple[str, ...] = ()  # servers that take nothing new, whatever the list says
+    attempts: int = 0  # in place of the settings' limit; 0: that holds
+    bound: float = 0.0  # c of bounded loads; 0: the settings'
+    warm_ms: float = -1.0  # how long a server that starts is cold; under 0: the settings'
+
+    def tier_of(self, server: str) -> int | None:
+        """The number of the tier that a server is in."""
+        return next((i for i, tier in enumerate(self.tiers) if named(server, tier)), None)
+
+    def settings(self, given: Settings) -> Settings:
+        """The decision module's settings on this pool."""
+        attempts = min(self.attempts, given.max_attempts) if self.attempts else given.max_attempts
+        return replace(
+            given,
+            max_attempts=attempts,
+            bound=self.bound or given.bound,
+            cold_ms=given.cold_ms if self.warm_ms < 0 else self.warm_ms,
+        )
+
+
+@dataclass(frozen=True)
+class Routing:
+    """The table of routes and the pools that it leads to."""
+
+    table: RouteTable
+    pools: tuple[Pool, ...]
+    listeners: Mapping[str, tuple[str, int]] = field(default_factory=dict)  # beside `listen`, by name
+
+
+def named(server: str, patterns: tuple[str, ...]) -> bool:
+    """Is a server among these names and patterns?"""
+    return any(fnmatchcase(server, pattern) for pattern in patterns)
