A gRPC client reads the table of routes, and runs its own way of deciding on each tier

Need: the table of routes was to be obeyed by the daemon, the QUIC front and the plug-in alike; the plug-in knew only one set of servers.

Change: crowd/pooled.py joins a client's decisions (the evened ring, cold boxes by lot) with a tier's (limits, what is handed over); a client's file has `routing` as a daemon's, without listeners. The module's first word, that it asks for the list, is now heard over pools too. A story takes servers out and back in the middle of traffic by reloads.

--- a/puffindeck/config/client.py
+++ b/puffindeck/config/client.py
@@ -11,6 +11,7 @@
 
 from puffindeck.config.checks import ConfigError, address
 from puffindeck.config.members import Members
+from puffindeck.config.routing import RoutingTable, routing
 from puffindeck.config.tuning import settings_of
 from puffindeck.interface import Settings
 
@@ -46,6 +47,7 @@
     seed: str = ""
     known: Members | None = None
     rpc: RpcTable = msgspec.field(default_factory=RpcTable)
+    routing: RoutingTable | None = None
 
 
 class Tls(msgspec.Struct, frozen=True):
@@ -79,6 +81,7 @@
     known: Members
     settings: Settings
     rpc: Rpc
+    routing: Any = None  # puffindeck.routing.Routing, which a client without one does not load
 
 
 def _pem(folder: Path, name: str, key: str) -> bytes:
@@ -162,7 +165,10 @@
         raise ConfigError("settings: classes must have different names")
     if not file.discovery and file.known is None:
         raise ConfigError("discovery is missing, and there is no list in known")
+    if file.routing and file.routing.listeners:
+        raise ConfigError("routing.listeners: a client listens on none")
     return Client(
+        routing=routing(file.routing) if file.routing else None,
         name=file.name,
         discovery=address(file.discovery, "discovery") if file.discovery else None,
         seed=seed,
--- a/puffindeck/routing/pooled.py
+++ b/puffindeck/routing/pooled.py
@@ -84,6 +84,8 @@
     events and a moment in milliseconds in, actions out.
     """
 
+    tier_type: type[TierBalancer] = TierBalancer
+
     def __init__(
         self,
         routing: Routing,
@@ -101,7 +103,7 @@
             state = self.pools[pool.name] = PoolState(pool)
             for i in range(len(pool.tiers)):
                 seed_of_tier = self.random.getrandbits(32)
-                balancer = TierBalancer(pool.settings(settings), seed_of_tier, self._leaves, state.standing)
+                balancer = self.tier_type(pool.settings(settings), seed_of_tier, self._leaves, state.standing)
                 balancer.limits = {number(server): most for server, most in pool.server_limits.items()}
                 tier = Tier(state, i, balancer)
                 state.tiers.append(tier)
@@ -109,6 +111,7 @@
         self.places: dict[int, Place] = {}
         self._wakes: dict[int, tuple[Tier, int]] = {}
         self._wake = 0
+        self._begun = False
         self._out: list[Action] = []
         self._do: dict[type[Any], Callable[[Any], None]] = {
             Listed: self._listed,
@@ -130,6 +133,10 @@
         """Take in what has happened at this moment and say what to do."""
         self.now = now_ms
         self._out = []
+        if not self._begun:  # before any event the module has its own first word: it asks for the list
+            self._begun = True
+            for tier in self.tiers:
+                self._tell(tier)
         for event in events:
             self._do[type(event)](event)
         return self._out
--- a/puffindeck/rpc/calls.py
+++ b/puffindeck/rpc/calls.py
@@ -13,7 +13,7 @@
 
 from puffindeck.core.clock import ZERO, span
 from puffindeck.core.engine import Link, Request, Ticket
-from puffindeck.interface import Outcome
+from puffindeck.interface import Facts, Outcome
 from puffindeck.roster.keys import number
 from puffindeck.rpc.attempt import NOTHING, Attempt
 from puffindeck.rpc.replay import Replay
@@ -22,6 +22,7 @@
 from puffindeck.rpc.subchannels import Method, Subchannel, Subchannels
 
 MIXED = "The iterator and the write style can't be mixed: this call was given an iterator"
+FACTS = Facts(listener="rpc")  # what routes may go by, beside the class
 AGAIN = span(50)  # how soon a call that waits for a server asks anew, where it was told no time
 
 
@@ -92,7 +93,7 @@
         elif engine.held.full():
             self.finish(Final(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many calls are open in this process"))
         else:
-            request = Request(self.method.cls, self._key, left, 0.0, self._group, self._returning)
+            request = Request(self.method.cls, self._key, left, 0.0, self._group, self._returning, FACTS)
             number = engine.request(self, request)
             if self._final is None:
                 self._number = number
--- a/puffindeck/rpc/shared.py
+++ b/puffindeck/rpc/shared.py
@@ -42,7 +42,7 @@
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock, LoopTimers(self.loop))
         self.directory = Directory(told.settings.zones, told.settings.kinds)
-        self.member = Member(told.settings, told.seed)
+        self.member = self._decisions()
         self.engine = Engine(self.member, told.settings, self.deadlines, self._follow)
         self._changes: set[asyncio.Future[None]] = set()
         self.roster = (
@@ -54,12 +54,21 @@
         else:
             self.engine.tell(Woken(0))  # the module's first word: it asks for the list
 
+    def _decisions(self) -> Any:
+        told = self.told
+        if told.routing is None:
+            return Member(told.settings, told.seed)
+        from puffindeck.crowd.pooled import PooledMember  # only where there are pools
+
+        names = self.directory
+        return PooledMember(told.routing, told.settings, told.seed, names.number, names.name)
+
     @classmethod
     def take(cls, told: Client, alone: bool = False) -> Shared:
         """The running loop's, made where there is none; to be released. `alone`: nobody else gets it."""
         if not globalLogPublisher._observers.count(_OBSERVER):
             globalLogPublisher.addObserver(_OBSERVER)
-        text = msgspec.json.encode([told.discovery, told.known, repr(told.settings)])
+        text = msgspec.json.encode([told.discovery, told.known, repr(told.settings), repr(told.routing)])
         key = (id(asyncio.get_running_loop()), text)
         shared = None if alone else cls._of.get(key)
         if shared is None:
@@ -91,7 +100,7 @@
     @property
     def age_ms(self) -> float:
         """How long ago the roster last gave a sign of life, in milliseconds; infinite before the first."""
-        return self.member.age_ms(ms(self.clock.now()))
+        return float(self.member.age_ms(ms(self.clock.now())))
 
     def wake(self) -> None:
         """Something may have changed: whoever waits for that looks again."""
--- a/tests/test_haproxy_routes.py
+++ b/tests/test_haproxy_routes.py
@@ -51,20 +51,24 @@
             **environment,
         }
         text = (SAMPLES / name).read_text()
-        table, self.account = haproxy.convert(name, text, environment=self.environment)
-        self.assertEqual(self.account.silent(), [])
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        path = Path(folder.name, "operator.toml")
-        path.write_bytes(msgspec.toml.encode(table))
+        self.path = Path(folder.name, "operator.toml")
+        self.bring(name, text)
         with patch.dict(os.environ, {"TMPDIR": folder.name}):
-            told = config.node(os.environ, str(path))
+            told = config.node(os.environ, str(self.path))
         self.cls = told.settings.classes[0].name
         self.node = NetNode(reactor, told, Clock())
         self.node.start()
         self.addCleanup(self.close_all)
         return Reference(text, self.environment)
 
+    def bring(self, name: str, text: str) -> None:
+        """Import a text into the operator's file."""
+        table, self.account = haproxy.convert(name, text, environment=self.environment)
+        self.assertEqual(self.account.silent(), [])
+        self.path.write_bytes(msgspec.toml.encode(table))
+
     async def close_all(self) -> None:
         peers = [p for host in self.hosts.values() for p in host.peers]
         for transport in [p.transport for p in peers] + [c.transport for c in self.node.clients]:
@@ -140,6 +144,23 @@
         reference = await self.begin("02-weights.cfg")
         await self.compare(reference, [("127.0.0.1", "FRONT")], times=30)
 
+    async def test_a_weight_of_0_and_a_server_disabled_in_the_middle_of_traffic(self) -> None:
+        """What stands stays, nothing new comes, and it is taken back as it was."""
+        name = "02-weights.cfg"
+        reference = await self.begin(name)
+        standing = [(await self.served_by())[2] for _ in range(16)]
+        text = (SAMPLES / name).read_text()
+        for change in (("weight 30", "weight 0"), ('${A}"', '${A}" disabled')):
+            changed = text.replace(*change)
+            self.assertNotEqual(changed, text)
+            self.bring(name, changed)
+            self.node.reload(lambda told: config.again(told, os.environ, str(self.path)))
+            await self.compare(Reference(changed, self.environment), [("127.0.0.1", "FRONT")], times=16)
+            self.assertFalse([client for client in standing if client.end is not None])
+        self.bring(name, text)
+        self.node.reload(lambda told: config.again(told, os.environ, str(self.path)))
+        await self.compare(reference, [("127.0.0.1", "FRONT")], times=30)
+
     async def test_backups_in_order(self) -> None:
         reference = await self.begin("03-backups-in-order.cfg")
         await self.compare(reference, [("127.0.0.1", "FRONT")], times=24)
--- /dev/null
+++ b/tests/test_rpc_routing.py
@@ -0,0 +1,101 @@
+"""Pools in a client: the same table of routes as a daemon's, each client deciding for itself."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from unittest import IsolatedAsyncioTestCase
+
+import msgspec
+import pytest
+
+from puffindeck import config
+from puffindeck.config.client import client
+from puffindeck.crowd.pooled import PooledMember
+from puffindeck.interface import ListKind, Outcome, Refuse, State
+from puffindeck.routing import Condition, Pool, Route, RouteTable, Routing
+from tests.rpc_world import Stub, World, keyed, told, until
+from tests.world import SETTINGS, Gateway, asked, entry, listed
+
+RULES = replace(SETTINGS, can_cancel=True, max_attempts=3, max_wait_ms=1500, gateways=200)
+POOL = Pool("main", (("1", "2", "3"), ("4", "5")), server_limits={"1": 1})
+
+
+def member(seed: int, pool: Pool = POOL) -> Gateway:
+    routing = Routing(RouteTable((), pool.name), (pool,))
+    return Gateway(RULES, 5, seed, PooledMember(routing, RULES, seed, int, str))
+
+
+def test_clients_agree_on_homes_within_the_tier_that_serves() -> None:
+    homes = [[member(seed, replace(POOL, server_limits={})).ask(1, key=key) for key in range(1, 60)]
+             for seed in (1, 2)]
+    assert homes[0] == homes[1]
+    assert set(homes[0]) == {1, 2, 3}
+
+
+def test_a_limit_holds_on_a_clients_own_calls() -> None:
+    one = member(1)
+    counts = Counter(one.connect(request, key=request) for request in range(1, 40))
+    assert counts[1] == 1
+    assert counts[4] + counts[5] == 0
+
+
+def test_the_backups_serve_a_client_whose_primaries_are_gone_and_the_attempts_count_on() -> None:
+    one = member(1, Pool("main", (("1",), ("4",))))
+    assert one.ask(1, key=1) == 1
+    one.end(1, Outcome.CONNECT_FAILED)
+    assert one.at[1] == 4
+    one.begin(1)
+    one.do(listed(entry(1, State.GONE), entry(4, State.GONE), kind=ListKind.CHANGES, version=2))
+    assert [type(a) for a in one.do(asked(2)) if isinstance(a, Refuse)] == [Refuse]
+
+
+def test_what_a_client_knows_of_the_roster_is_known_over_all_pools() -> None:
+    balancer = member(1).balancer
+    assert isinstance(balancer, PooledMember)
+    assert (balancer.ready, balancer.version, balancer.list_fails) == (True, 1, 0)
+    balancer.heard(2000.0)
+    assert balancer.age_ms(2500.0) == 500.0
+
+
+class ChannelStories(IsolatedAsyncioTestCase):
+    """A channel over pools, with boxes on loopback."""
+
+    async def asyncSetUp(self) -> None:
+        self.world = World()
+        self.addAsyncCleanup(self.world.end)
+
+    async def test_calls_go_by_their_class_and_over_to_the_backup_when_the_box_is_gone(self) -> None:
+        await self.world.serve("one", "two", "three")
+        watch = Route("streams", ((Condition("class", ("watch",)),),))
+        routing = Routing(RouteTable((watch,), "calls"), (
+            Pool("calls", (("one",), ("three",))), Pool("streams", (("two",),)),
+        ))
+        with_pools = msgspec.structs.replace(told(self.world.discovery.port), routing=routing)
+        channel = self.world.channel(told=with_pools)
+        await asyncio.wait_for(channel.channel_ready(), 5)
+        stub = Stub(channel)
+        for i in range(6):
+            self.assertIn(b"one", await stub.status(b"", timeout=5, metadata=keyed(f"desk {i}")))
+        stream = stub.watch(b"", metadata=keyed("desk 1"))
+        self.assertIn(b"two", await stream.read())
+        await self.world.boxes["one"].stop()
+        for i in range(6):
+            self.assertIn(b"three", await stub.status(b"", timeout=5, metadata=keyed(f"desk {i}")))
+        self.assertEqual(self.world.count()["two"], 1)
+        stream.cancel()
+        shared, _ = channel._started()
+        await until(lambda: not len(shared.engine.held), "the core still holds a call")
+        self.assertFalse(shared.member.places)
+
+
+def test_a_clients_file_has_routes_and_no_listeners(tmp_path: Path) -> None:
+    text = (Path(__file__).parent.parent / "deploy/client-grpc.toml").read_text()
+    pools = '\n[routing]\ndefault = "all"\n[routing.pools.all]\nmembers = ["box-*"]\n'
+    (tmp_path / "c.toml").write_text(text + pools)
+    assert client(tmp_path / "c.toml").routing.table.default == "all"
+    (tmp_path / "c.toml").write_text(text + pools + '[routing.listeners]\nx = "127.0.0.1:1"\n')
+    with pytest.raises(config.ConfigError, match=r"routing\.listeners"):
+        client(tmp_path / "c.toml")
