--- a/tests/test_importer_parts.py
+++ b/tests/test_importer_parts.py
@@ -172,6 +172,13 @@
     haproxy.convert("h.cfg", '.if 0\nbackend c\n server z "${NOBODY}"\n.if 1\n.endif\n.endif\n' + BACKENDS)
 
 
+def test_the_operators_files_that_are_shipped_are_read() -> None:
+    told = config.node({}, str(ROOT / "deploy/operator-pools.toml"))
+    assert {pool.name for pool in told.routing.pools} == {"claims", "partners"}
+    assert told.json_logs
+    assert config.node({}, str(ROOT / "deploy/operator-quic.toml")).quic is not None
+
+
 ROUTED = '[routing.pools.a]\nmembers = ["x"]\n[[routing.routes]]\npool = "a"\n'
 STATE = """\
 1
