--- a/puffindeck/cli/commands.py
+++ b/puffindeck/cli/commands.py
@@ -14,7 +14,7 @@
 import click
 import msgspec
 
-from puffindeck import config
+from puffindeck import __version__, config
 from puffindeck.importer import haproxy
 from puffindeck.importer.account import Account
 from puffindeck.importer.command import replaced, texts
@@ -32,7 +32,7 @@
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.version_option(package_name="puffindeck", message="%(version)s")
+@click.version_option(__version__, message="%(version)s")
 def main() -> None:
     """A balancer for long-lived connections."""
 
--- a/tests/test_importer_parts.py
+++ b/tests/test_importer_parts.py
@@ -103,8 +103,9 @@
 
 
 def test_every_option_of_a_bind_has_its_word() -> None:
-    _, account = haproxy.convert("h.cfg", "frontend f\n bind :7 name x crt /etc/y ssl teleport\n"
-                                          " default_backend a\n" + BACKENDS)
+    _, account = haproxy.convert(
+        "h.cfg", "frontend f\n bind :7 name x crt /etc/y ssl teleport\n default_backend a\n" + BACKENDS
+    )
     entry = account.entries["h.cfg:2"]
     assert entry.verdict == "traffic"
     assert [says.split(":")[0] for says in entry.says] == ["name", "crt", "ssl", "teleport"]
@@ -172,6 +173,16 @@
     haproxy.convert("h.cfg", '.if 0\nbackend c\n server z "${NOBODY}"\n.if 1\n.endif\n.endif\n' + BACKENDS)
 
 
+def test_the_command_says_what_it_is() -> None:
+    """Also where the package is not installed but run from its folder."""
+    command = (sys.executable, "-m", "puffindeck.cli")
+    for given, said in (("--version", "0.1.0"), ("--help", "import"), ("import", "haproxy")):
+        done = subprocess.run([*command, given], capture_output=True, text=True, cwd=ROOT)
+        assert said in done.stdout + done.stderr, done.stderr
+    done = subprocess.run([*command, "check", "no-such-file"], capture_output=True, text=True, cwd=ROOT)
+    assert (done.returncode, "no-such-file" in done.stderr) == (2, True)
+
+
 def test_the_operators_files_that_are_shipped_are_read() -> None:
     told = config.node({}, str(ROOT / "deploy/operator-pools.toml"))
     assert {pool.name for pool in told.routing.pools} == {"claims", "partners"}
