--- a/tests/test_importer_parts.py
+++ b/tests/test_importer_parts.py
@@ -176,8 +176,8 @@
 def test_the_command_says_what_it_is() -> None:
     """Also where the package is not installed but run from its folder."""
     command = (sys.executable, "-m", "puffindeck.cli")
-    for given, said in (("--version", "0.1.0"), ("--help", "import"), ("import", "haproxy")):
-        done = subprocess.run([*command, given], capture_output=True, text=True, cwd=ROOT)
+    for word, said in (("--version", "0.1.0"), ("--help", "import"), ("import", "haproxy")):
+        done = subprocess.run([*command, word], capture_output=True, text=True, cwd=ROOT)
         assert said in done.stdout + done.stderr, done.stderr
     done = subprocess.run([*command, "check", "no-such-file"], capture_output=True, text=True, cwd=ROOT)
     assert (done.returncode, "no-such-file" in done.stderr) == (2, True)
