Only keys without a group prefer the own zone: a group was paid for once in each zone

At fault: the walk began in the own zone for every key (choice.py, walk), so nodes of four zones brought each group to servers of four zones. Eight groups on 40 gateways: 45 pairs -> under 24 (tests/test_fleet.py).

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -431,7 +431,8 @@
         # near-empty counts (a restart, a storm) must not scatter keys: a group's own cost is in the floor
         floor = (FLOOR + (GROUP_COST if request.group else 0.0)) * self.mean_load
         home, share = self.settings.zone, self.share(request)
-        zones = (home, None) if self.settings.cross_zone_price > 0 and home in self.zone_sizes else (None,)
+        alone = not request.group and self.settings.cross_zone_price > 0 and home in self.zone_sizes
+        zones = (home, None) if alone else (None,)  # a group would be paid for once in each zone
         doubt = self._strained_part(zones[0]) if request.returning else 0.0
         if lot(request.id, home) < doubt:
             zones = (None,)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,44 @@
+"""Many gateways that share nothing: what is harmless at one and harmful when all do it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from puffindeck.interface import LoadTold
+from tests.world import SETTINGS, Gateway, entry, listed
+
+ZONES = 4
+
+
+def fleet(gateways: int, servers: int = 16) -> list[Gateway]:
+    """Gateways spread over four zones, with the servers of all zones in their lists."""
+    settings = replace(SETTINGS, gateways=gateways, cross_zone_price=0.0067)
+    made = [Gateway(replace(settings, zone=g % ZONES), servers=0, seed=g) for g in range(gateways)]
+    for gateway in made:
+        gateway.do(listed(*(entry(s, zone=s % ZONES) for s in range(1, servers + 1))))
+    return made
+
+
+@pytest.mark.parametrize("gateways", [4, 40, 200])
+def test_a_group_is_not_paid_for_once_in_each_zone(gateways: int) -> None:
+    """Every server pays for a group that it holds any of: members meet, whatever zone they come through."""
+    made, groups, holding = fleet(gateways), range(1, 9), 0
+    for number in range(800):
+        gateway, group = made[number % gateways], groups[number // gateways % len(groups)]
+        gateway.connect(number + 1, group=group, key=number)
+    for group in groups:
+        holding += len({r.server.id for g in made for r in g.balancer.requests.values()
+                        if r.group == group and r.server})
+    assert holding <= 3 * len(groups)  # 40 and 45 where the own zone came first
+
+
+def test_a_key_of_its_own_still_stays_in_its_zone() -> None:
+    """Nothing is shared by it, so only the crossing has a price."""
+    for gateway in fleet(8):
+        zone = gateway.balancer.settings.zone
+        for key in range(1, 6):
+            server = gateway.connect(key, key=key + 100 * zone)
+            gateway.do(LoadTold(key, server, 1.0))
+            assert server % ZONES == zone
