Groups leave each other room by one plan; cold hosts fill by what a full one bears

Cause: no count of a node with four connections reaches the bound, so the lot for a group's share (walk) was all that bounded anything, and it gave each group its part for itself; and PRIOR held groups to be rare at nodes that had seen few requests. Hosts back cold were let in as if a full one held the mean: a fleet at 40% holds far less than it bears. Change: a plan of all groups in one order, each into the room left by those before (docs/design/fleet.md); a prior of two requests; FULL = 2.5.

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -10,9 +10,9 @@
 
 import math
 from bisect import bisect_left
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from hashlib import blake2b
-from heapq import heappop, heappush
+from heapq import heappop, heappush, nlargest
 from itertools import chain, islice
 from random import Random
 from struct import Struct
@@ -29,8 +29,10 @@
 VIRTUAL_NODES = 16  # points on the ring for each server: one digest's worth, as each gateway hashes them all
 WALK = 8  # servers that a walk looks at for a key without a group
 FLOOR = 2.0  # mean connections a server may always hold: near-empty counts must not scatter the keys
-PRIOR = 8.0  # requests: a key's share of what was seen is held to be less until clearly more were seen
+PRIOR, GROUP_PRIOR = 8.0, 2.0  # requests: keys, and groups, are held to bring less until more was seen
+PLAN_MS, PLANNED = 500.0, 64  # how long a plan for groups holds, and for how many, those seen most
 MEMORY_MS = 60000.0  # how long what was seen of keys' shares counts
+FULL = 2.5  # of the mean a server holds: what one bears at least when full; six times broke no rule
 GROUP_COST = 2.5  # mean connections that a server pays for a group's first one; a guess, told nowhere
 TICK_MS = 1000.0  # how often loads are reckoned anew and relief is given, while there is trouble
 CALM_TICKS = 4  # ticks that pass for one while there is none
@@ -38,7 +40,6 @@
 RETRY_MS = 40.0  # how long a request is held before another walk when no server may take it
 SUSPECT_MS, SUSPECT_MAX_MS = 1000.0, 8000.0  # how long a server that failed is skipped at first, and at most
 STRAINED = 0.35  # of the shortest message aim: a server says so from a third on, and what piles up grows fast
-WIDEN_MS = 1000.0  # how long a group is without a place until its reach grows by a server
 CUT_MS = 900.0  # a server's ceiling is cut this often at most: what is piled up takes time to drain
 REGAIN = 1.02  # a ceiling's growth in each second in which nothing says that the server is strained
 OUT_MS = 1200.0  # over how long the connections of a server that is taken out are sent away
@@ -147,7 +148,8 @@
         self.mean_load = 1.0
         self.counts: dict[int, float] = {}  # requests seen by group, else key, fading; and all of them
         self.seen = 0.0
-        self.short: dict[int, tuple[float, float, int]] = {}  # groups without a place: since, last, reach
+        self.plan: dict[int, tuple[int, dict[int, float]]] = {}  # of groups, and when it was made
+        self.plan_ms = -INF
         self.tenants: dict[int, int] = {}
         self.pending = 0  # attempts out whose connections do not stand yet, and how many there may be
         self.window, self.window_cut_ms = INF, -INF
@@ -236,6 +238,7 @@
             self.owners.update(dict.fromkeys(new, joined))
             self.ring += new
         self.ring.sort()
+        self.plan_ms = -INF
         self.measure()
 
     def _entry(self, entry: Entry) -> None:
@@ -317,12 +320,12 @@
     def cold_credit(self, request: Request, server: Server) -> bool:
         """May a cold server be sent one more?
 
-        Rule 4. All gateways keep to 1/gateways of the budget; a full server is guessed to hold what ours hold
-        now, which is less, and to fill over its whole warm-up. With many gateways that part is far under one
+        Rule 4. All gateways keep to 1/gateways of the budget; a full server is guessed to hold FULL times as
+        much as ours now, and to fill over its whole warm-up. With many gateways that part is far under one
         connection: it is saved up for all cold servers from a random debt, so that gateways take turns.
         """
         settings, passed = self.settings, self.now - self.credit_ms
-        share = self.held / max(1, len(self.ready)) * settings.fall_multiple / settings.cold_ms
+        share = FULL * self.held / max(1, len(self.ready)) * settings.fall_multiple / settings.cold_ms
         rate, top = share * self.cold_size, settings.fall_ms / 2
         self.credit = min(max(1.0, rate * top), self.credit + rate * passed)
         self.credit_ms = self.now
@@ -361,7 +364,10 @@
     def share(self, request: Request) -> float:
         """The part of all load that a group or key brings, as far as this gateway has seen."""
         count = self.counts.get(request.key, 0.0)
-        return (count if request.group else max(0.0, count - 1)) / (self.seen + PRIOR)
+        return self._part(request.group) if request.group else max(0.0, count - 1) / (self.seen + PRIOR)
+
+    def _part(self, group: int) -> float:
+        return self.counts.get(group, 0.0) / (self.seen + GROUP_PRIOR)
 
     def _class_load(self, cls: int) -> float:
         return self.class_loads[cls] or self.mean_load
@@ -386,19 +392,39 @@
             return self.cold_credit(request, server)  # rule 4
         return True
 
-    def clockwise(self, request: Request, zone: int | None, skip: set[int], reach: int) -> list[Server]:
-        """The first servers of a zone (None: any) clockwise from a request's hash that may be sent it."""
-        found: list[Server] = []
-        seen, ring, at = set(skip), self.ring, bisect_left(self.ring, request.hash >> 34)
-        for point in chain(islice(ring, at, None), islice(ring, at)):
+    def _around(self, start: int) -> Iterator[Server]:
+        """The servers on the ring, clockwise from a hash."""
+        seen, at = set[int](), bisect_left(self.ring, start >> 34)
+        for point in chain(islice(self.ring, at, None), islice(self.ring, at)):
             if self.owners[point] not in seen:
                 seen.add(self.owners[point])
-                server = self.servers[self.owners[point]]
-                if zone in (None, server.zone) and self._eligible(request, server):
-                    found.append(server)
-                    if len(found) >= reach:
+                yield self.servers[self.owners[point]]
+
+    def clockwise(self, request: Request, zone: int | None, skip: set[int], reach: int) -> list[Server]:
+        """The first servers of a zone (None: any) clockwise from a request's hash that may be sent it."""
+        return list(islice((
+            s for s in self._around(request.hash)
+            if s.id not in skip and zone in (None, s.zone) and self._eligible(request, s)
+        ), reach))
+
+    def _planned(self, group: int) -> tuple[int, dict[int, float]]:
+        """How many servers a group's share fills, and what part of all load groups before it take of each.
+
+        Bounded loads, as expected: groups in one order at all gateways, each clockwise into the room left.
+        No gateway's own counts tell that where each of many holds few connections.
+        """
+        if self.now - self.plan_ms > PLAN_MS or group not in self.plan:
+            self.plan_ms, self.plan, used = self.now, {}, dict.fromkeys(self.ready, 0.0)
+            scale = self.bound / max(1e-9, self.zone_sizes[None])
+            for key in sorted(nlargest(PLANNED, self.counts, lambda key: self.counts[key])):
+                before, rest, stops = used.copy(), self._part(key), 0
+                for server in self._around(mixed(key)):
+                    here = min(rest, max(0.0, scale * server.size - used[server.id]))
+                    used[server.id], rest, stops = used[server.id] + here, rest - here, stops + 1
+                    if rest <= 0:
                         break
-        return found
+                self.plan[key] = stops, before
+        return self.plan.get(group, (1, {}))
 
     def _mean(self, zone: int | None, doubted: dict[int, Server]) -> tuple[float, float]:
         """This gateway's load and the size of the ready servers in a zone (None: everywhere)."""
@@ -408,15 +434,6 @@
                 load += s.load
         return load, size - sum(s.size for s in doubted.values() if zone in (None, s.zone))
 
-    def _strained_part(self, zone: int | None) -> float:
-        """How many of the servers in use here, out of all of a zone, are known to be strained.
-
-        A client that comes back was sent off by a gateway that knows its server to be strained, and the ring
-        leads it there again: with these odds it passes by servers that tell us nothing, and leaves the zone.
-        """
-        used = [s for s in self.live.values() if zone in (None, s.zone)]
-        return sum(s.ceiling < INF for s in used) / (len(used) + 1)
-
     def walk(self, request: Request) -> tuple[Server | None, bool]:
         """The server for a request, and whether it was found within the bound."""
         now = self.now
@@ -433,19 +450,15 @@
         home, share = self.settings.zone, self.share(request)
         alone = not request.group and self.settings.cross_zone_price > 0 and home in self.zone_sizes
         zones = (home, None) if alone else (None,)  # a group would be paid for once in each zone
-        doubt = self._strained_part(zones[0]) if request.returning else 0.0
-        if lot(request.id, home) < doubt:
-            zones = (None,)
+        stops, taken = self._planned(request.group) if request.group and share else (0, dict[int, float]())
         passes = []
-        wider = self.short[request.group][2] if request.group in self.short else 0
         # a zone with few servers may be given no more than the fleet's mean, were gateways to hold alike
         load, size = self._mean(None, doubted)
         fair = (load + request.load) * self.settings.gateways / max(1e-9, size)
         for zone in zones:
             load, size = self._mean(zone, doubted)
             # a strained fleet must not spread each group over all servers, which would all pay for it
-            reach = WALK if not request.group else 2 + int(share * len(self.ready) * size / (
-                self.bound * max(1e-9, self.zone_sizes[None]))) + wider
+            reach = 3 + stops if request.group else WALK
             near = self.clockwise(request, zone, skip | request.tried, reach)
             near = near or self.clockwise(request, zone, skip, reach)
             mean = (load + request.load) / max(1e-9, size)
@@ -453,34 +466,23 @@
         near = [server for servers, _, _ in passes for server in servers]
         if not near or request.mid_flow:  # the ring home is the likeliest holder
             return (near[0] if near else None), True
-        fit = {s.id for s in near if self._bears(s, request) and (s.conns or lot(request.id, s.id) >= doubt)}
+        fit = {s.id for s in near if self._bears(s, request)}
         for stretch in STRETCHES:
             for servers, mean, size in passes:
                 rest = share
                 for server in servers:
                     # With many gateways no count reaches the bound, and all would fill a busy group's home: a
                     # server takes its bounded part of the key's expected share, by lot; the rest spills on.
-                    part = self.bound * stretch * server.size / size
+                    part = self.bound * stretch * server.size / size - taken.get(server.id, 0.0)
                     bound = self.bound * mean * server.size
                     if bound < floor and rest * lot(request.lot, server.id) > part:
-                        rest -= part
+                        rest -= max(0.0, part)
                     elif server.id in fit and server.load < stretch * max(bound, floor):
                         return server, stretch == 1.0
         # all at their ceilings: more would serve nobody; else the walk's start is kept, as the design says
         found = next((s for s in near if s.id in fit), None)
-        if found is None and request.group:
-            self._short(request.group)
         return found, False
 
-    def _short(self, group: int) -> None:
-        """A group has no place. If that lasts, one more server is worth what it pays for the group."""
-        since, last, wider = self.short.get(group, (self.now, self.now, 0))
-        if self.now - last > 2 * WIDEN_MS:
-            since = self.now
-        elif self.now - since > WIDEN_MS:
-            since, wider = self.now, wider + 1
-        self.short[group] = since, self.now, wider
-
     def _bears(self, server: Server, request: Request) -> bool:
         """Does the request, with its group's cost where that is new there, fit under the server's ceiling?"""
         if server.ceiling == INF:
@@ -785,7 +787,6 @@
         fade = math.exp(-1000.0 * passed / MEMORY_MS)
         self.seen *= fade
         self.counts = {key: count * fade for key, count in self.counts.items() if count > 0.1}
-        self.short = {g: state for g, state in self.short.items() if self.now - state[1] < 10 * WIDEN_MS}
         if not self.all_warm:
             self.measure()
         calm = self.all_warm
