A group outside a full plan no longer has it made anew with each request

Found by reading: a plan holds the 64 groups seen most, and was made whenever a request's group was not in it. With more groups than that each request of a rare one walked the ring for all 64 (choice.py, _planned). The test fails with the line before.

--- a/puffindeck/choice.py
+++ b/puffindeck/choice.py
@@ -413,7 +413,7 @@
         Bounded loads, as expected: groups in one order at all gateways, each clockwise into the room left.
         No gateway's own counts tell that where each of many holds few connections.
         """
-        if self.now - self.plan_ms > PLAN_MS or group not in self.plan:
+        if self.now - self.plan_ms > PLAN_MS or (group not in self.plan and len(self.plan) < PLANNED):
             self.plan_ms, self.plan, used = self.now, {}, dict.fromkeys(self.ready, 0.0)
             scale = self.bound / max(1e-9, self.zone_sizes[None])
             for key in sorted(nlargest(PLANNED, self.counts, lambda key: self.counts[key])):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from puffindeck.choice import PLAN_MS, PLANNED
 from puffindeck.interface import LoadTold
 from tests.world import SETTINGS, Gateway, entry, listed
 
@@ -63,3 +64,18 @@
     """Each group fills the servers after its home; where several have their home each took a part."""
     found = [fullest(gateways, each, seed) for seed in range(1, 9)]
     assert sum(found) / len(found) <= most, found
+
+
+def test_a_group_outside_the_plan_does_not_bring_a_new_one_with_each_request() -> None:
+    """A plan walks the ring for each group: made anew for every rare one, it would cost a node its core."""
+    gateway = fleet(1)[0]
+    for number in range(1, 3 * PLANNED):
+        gateway.connect(number, group=number % PLANNED + 1, key=number)
+    gateway.connect(1000, group=5000)
+    made = gateway.balancer.plan_ms
+    gateway.wait(PLAN_MS / 2)
+    gateway.connect(1001, group=5000)
+    assert gateway.balancer.plan_ms == made
+    gateway.wait(PLAN_MS)
+    gateway.connect(1002, group=5000)
+    assert gateway.balancer.plan_ms > made
