A client's connection has one state machine; half a line is no sign of life

Ruled out: a node that ends, as no lost request stood at one. Cause: Link.data set `asked` to None at any octet (net/host.py).

--- a/packages/fleet/src/puffindeck_fleet/governor.py
+++ b/packages/fleet/src/puffindeck_fleet/governor.py
@@ -15,6 +15,7 @@
     Action,
     Began,
     ClientLeft,
+    Dismissed,
     Ended,
     Event,
     Fail,
@@ -211,6 +212,10 @@
             if held is not None and not held.begun:
                 held.doubtful = True  # an attempt that is out may come up yet
                 self._close(now, event.request, held)
+        elif isinstance(event, Dismissed):
+            held = self.held.get(event.request)
+            if held is not None:
+                held.doubtful = True  # as above; its answer closes it
 
     def _answered(self, now: float, request: int) -> None:
         held = self.held.get(request)
--- a/puffindeck/choice/attempts.py
+++ b/puffindeck/choice/attempts.py
@@ -4,7 +4,8 @@
 from puffindeck.choice.walk import Walk
 from puffindeck.hashes import lot
 from puffindeck.interface import (
-    NEVER_RAN, Began, Cancel, ClientLeft, Effect, Ended, Fail, Move, Opened, Outcome, Refuse, Requested, Send,
+    NEVER_RAN, Began, Cancel, ClientLeft, Dismissed, Effect, Ended, Fail, Move, Opened, Outcome, Refuse,
+    Requested, Send,
 )
 from puffindeck.records import INF, Request, Server
 
@@ -48,7 +49,7 @@
         server, within = self.walk(request)
         if server is None:
             waited = self.now - request.came_ms > PATIENCE * request.rules.aim_ms
-            stuck = request.ran is not None and request.rules.effect == Effect.UNSAFE
+            stuck = request.ran is not None and self.now >= self.repeats_until(request)
             if stuck or (waited and not within):
                 self._answer(request)
             else:
@@ -75,6 +76,9 @@
             push = max(0.25, request.load / self.mean_load)
             server.push += push
             self.credit -= push
+        # a connect may take its time, and the first byte must not go out after it
+        until = self.repeats_until(request) if request.ran is not None else INF
+        begin = max(0.001, until - self.now) if until < INF else 0.0
         request.attempts += 1
         request.out, request.sent_ms = True, self.now
         request.tried.add(server.id)
@@ -83,7 +87,7 @@
         server.pending += 1
         self.pending += 1
         self._count(request, server)
-        self.actions.append(Send(request.id, server.id, timeout))
+        self.actions.append(Send(request.id, server.id, timeout, begin))
 
     def _began(self, event: Began) -> None:
         request = self.requests.get(event.request)
@@ -150,9 +154,16 @@
         if not request.answered and not request.begun and self.requests.get(request.id) is request:
             self._answer(request)
 
-    def _answer(self, request: Request) -> None:
+    def _dismissed(self, event: Dismissed) -> None:
+        """Its gateway ends. A class that may be repeated may be refused too while an attempt is out."""
+        request = self.requests.get(event.request)
+        if request is not None and not request.answered and not request.begun:
+            self._answer(request, request.harmless())
+
+    def _answer(self, request: Request, refuse: bool | None = None) -> None:
         """The one final answer; a refusal only where a retry is known to do no harm."""
-        refuse = request.harmless() and not request.out
+        if refuse is None:
+            refuse = request.harmless() and not request.out
         self.actions.append(Refuse(request.id, self._come_back(request)) if refuse else Fail(request.id))
         self._close(request)
 
--- a/puffindeck/choice/balancer.py
+++ b/puffindeck/choice/balancer.py
@@ -7,8 +7,8 @@
 from puffindeck.choice.attempts import Attempts
 from puffindeck.choice.relief import TICK_MS
 from puffindeck.interface import (
-    Action, Attached, Began, ClientLeft, DelayTold, Detached, Ended, Entry, Event, Follow, Listed, ListKind,
-    LoadTold, Opened, Recalled, Requested, Retuned, Settings, State, Wake, Woken,
+    Action, Attached, Began, ClientLeft, DelayTold, Detached, Dismissed, Ended, Entry, Event, Follow, Listed,
+    ListKind, LoadTold, Opened, Recalled, Requested, Retuned, Settings, State, Wake, Woken,
 )
 from puffindeck.records import INF, Server
 
@@ -24,6 +24,7 @@
             Listed: self._listed, Requested: self._requested, Opened: self._opened, Began: self._began,
             LoadTold: self._load_told, DelayTold: self._delay_told, Ended: self._ended,
             ClientLeft: self._client_left, Woken: self._woken, Detached: self._detached,
+            Dismissed: self._dismissed,
             Attached: self._attached, Recalled: self._recalled,
             Retuned: lambda event: self._tune(event.settings),
         }
--- a/puffindeck/choice/ring.py
+++ b/puffindeck/choice/ring.py
@@ -56,11 +56,9 @@
         ran = request.ran
         if ran is not None:  # rule 2
             rules = request.rules
-            if rules.effect == Effect.UNSAFE:
+            if self.now >= self.repeats_until(request):
                 return False
             if rules.effect == Effect.KEYED:
-                if self.now >= request.ran_ms + rules.window_ms - self.settings.period_ms:
-                    return False
                 if rules.scope == Scope.ZONE and server.zone != ran.zone:
                     return False
                 if rules.scope == Scope.CELL and server.cell != ran.cell:
@@ -69,6 +67,12 @@
             return self.cold_credit(request, server)  # rule 4
         return True
 
+    def repeats_until(self, request: Request) -> float:
+        """Until when a request that may have run may begin anew: repeats are discarded for a while only."""
+        if request.rules.effect == Effect.KEYED:
+            return request.ran_ms + request.rules.window_ms - self.settings.period_ms
+        return INF if request.rules.effect == Effect.SAFE else -INF
+
     def share(self, request: Request) -> float:
         """The part of all load that a group or key brings, as far as this gateway has seen."""
         count = self.counts.get(request.key, 0.0)
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -26,6 +26,7 @@
     ClientLeft,
     DelayTold,
     Detached,
+    Dismissed,
     Ended,
     Entry,
     Event,
@@ -80,8 +81,14 @@
 class Client(Protocol):
     """A front's side of a request: whoever waits for its answer."""
 
-    def open(self, ticket: Ticket, server: int, until: timedelta) -> Link | None:
-        """Start an attempt. None if it has ended already, which has then been told."""
+    def waits(self) -> bool:
+        """Is it still there, at this very moment? One that has left gets no further attempt."""
+
+    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
+        """Start an attempt, whose first byte may go out until `begin`. None if it has ended already.
+
+        Its end has then been told.
+        """
 
     def began(self, link: Link) -> None:
         """The final answer: served by what this link leads to."""
@@ -270,6 +277,16 @@
             self._cut(held, Outcome.CANCELLED)
         self._settle(held)
 
+    def dismiss(self, number: int) -> None:
+        """This gateway ends, and can wait for nothing more: the module says with which answer."""
+        held = self.held.get(number)
+        if held is None or held.begun:
+            return
+        self.tell(Dismissed(number))
+        self._overdue(number)  # whatever the module has done, it is answered
+        if self.held.get(number) is held and held.out:
+            self._cut(held, Outcome.CANCELLED)
+
     # From the front: attempts and connections
 
     def _current(self, ticket: Ticket) -> Held | None:
@@ -323,15 +340,19 @@
             held.attempts += not held.out
             self.tell(Ended(action.request, Outcome.MOOT, action.server, ticket.attempt, held.answered, 0.0))
             return
+        if not held.client.waits():
+            self.client_left(action.request)
+            return
         now = self.clock.now()
         until = min(held.deadline, now + span(action.timeout_ms)) if action.timeout_ms else held.deadline
+        begin = min(until, now + span(action.begin_ms)) if action.begin_ms else until
         held.attempts += 1
         held.out, held.server, held.sent = True, action.server, now
         if until <= now:
             self.ended(ticket, Outcome.TIMEOUT)
             return
         held.expiry = self.deadlines.at(until, self._expired, ticket)
-        link = held.client.open(ticket, action.server, until)
+        link = held.client.open(ticket, action.server, until, begin)
         if self._current(ticket) is held:
             held.link = link
 
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -217,6 +217,13 @@
     request: int
 
 
+@dataclass(slots=True)
+class Dismissed:
+    """The gateway ends: whatever the request waits for, it has to be answered now."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class Woken:
     """A timer asked for has come due."""
@@ -257,8 +264,8 @@
 
 
 Event = (
-    Listed | Requested | Opened | Began | LoadTold | DelayTold | Ended | ClientLeft | Woken | Detached
-    | Attached | Recalled | Retuned
+    Listed | Requested | Opened | Began | LoadTold | DelayTold | Ended | ClientLeft | Dismissed | Woken
+    | Detached | Attached | Recalled | Retuned
 )
 
 
@@ -272,6 +279,7 @@
     request: int
     server: int
     timeout_ms: float
+    begin_ms: float = 0.0  # how long its first byte may yet go out; 0: as long as the attempt has
 
 
 @dataclass(slots=True)
--- a/puffindeck/net/door.py
+++ b/puffindeck/net/door.py
@@ -13,11 +13,14 @@
 from typing import Any, Protocol
 
 from twisted.internet import tcp
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 
 PART = 6  # one in this many descriptors may be held by clients at the door in any case
 NEXT = 40  # descriptors for those who ask next, and for their hosts
 SPARE = 40  # descriptors for the log, the reactor, discovery, a turn's accepts and closes under way
 ACCEPTS = 16  # connections taken in one turn of the reactor
+ROUNDS = 80  # of so many, when a port is to close: more than may wait there, and an end where ever more come
 
 
 class Guest(Protocol):
@@ -38,6 +41,24 @@
     def numberAccepts(self, count: int) -> None:
         """The library would take in ever more."""
 
+    def take_in(self) -> int:
+        """Accept all whose connections stand by now: a port that closes resets those. How many there were."""
+        begun = self.sessionno
+        for _ in range(ROUNDS):
+            before = self.sessionno
+            if self.connected and not self.disconnecting:
+                self.doRead()
+            if self.sessionno == before:
+                break
+        return int(self.sessionno - begun)
+
+    def shut(self) -> None:
+        """Close in this turn, with nobody between the last accept and the close."""
+        if self.connected and not self.disconnecting:
+            self.disconnecting = True
+            self.stopReading()
+            self.connectionLost(Failure(ConnectionDone()))
+
 
 def adopt(reactor: Any, descriptor: int, factory: Any) -> Port:
     """A socket that others hold too, as the reactor's adoptStreamPort does it, with our Port.
@@ -67,6 +88,7 @@
         self.idle: dict[Guest, None] = {}  # told PONG, with nothing since
         self.leaving: dict[Guest, None] = {}  # answered
         self._put_out: set[Guest] = set()  # their descriptors are free within a turn of the reactor
+        self._making_room = False
         self._used = used  # by clients that are served, and hosts
         self._reserved, self.others = SPARE + reserved, 0
         self.limit(sockets)
@@ -119,10 +141,18 @@
 
     def _make_room(self) -> None:
         """Who has been told PONG goes first, then the longest there: an answer is read by now."""
-        most = max(self.least, self.sockets - self._reserved - self._used() - NEXT)
-        while self._held() > most:
-            table = self.idle or max(self.leaving, self.waiting, key=len)
-            oldest = next(iter(table))
-            del table[oldest]
-            self._put_out.add(oldest)
-            oldest.put_out()
+        if self._making_room:  # one that is put out may have asked just now, which brings it here again
+            return
+        self._making_room = True
+        try:
+            while self._held() > self._most():
+                table = self.idle or max(self.leaving, self.waiting, key=len)
+                oldest = next(iter(table))
+                del table[oldest]
+                self._put_out.add(oldest)
+                oldest.put_out()
+        finally:
+            self._making_room = False
+
+    def _most(self) -> int:
+        return max(self.least, self.sockets - self._reserved - self._used() - NEXT)
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -13,15 +12,15 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from puffindeck.core.clock import ZERO, span
+from puffindeck.core.clock import ZERO
 from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Engine, Ticket
 from puffindeck.interface import Outcome
+from puffindeck.net.closing import close, flush
 from puffindeck.net.heads import CRLF, MAX_LINE, Head
 
 log = Logger("puffindeck")
 
-LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
 SHORT = 64  # bytes kept of a line that a host has not ended yet
 ENDS = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
 # a BYE before UP is none of these: the client would be left without an answer
@@ -31,6 +30,9 @@
 class Waiting(Protocol):
     """The client's side of a link."""
 
+    def waits(self) -> bool:
+        """Is there still somebody to be served, at this very moment?"""
+
     def host_up(self, link: Link) -> bool:
         """The host is up: is there still somebody to hand it to?"""
 
@@ -47,41 +49,6 @@
         """Its descriptor is free again."""
 
 
-def close(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
-    """End a connection with all that was written, or without it if the other side does not take it."""
-    transport.unregisterProducer()
-    transport.loseConnection()
-    deadlines.after(LINGER, lambda: connected() and transport.abortConnection())
-
-
-@implementer(IPullProducer)
-class _Break:
-    """Asked for more when it is registered, and again once every byte before it is written."""
-
-    def __init__(self, transport: Any) -> None:
-        self._transport, self._asked = transport, False
-
-    def resumeProducing(self) -> None:
-        if self._asked:
-            self._transport.abortConnection()
-        else:
-            self._asked = True
-            self._transport.startWriting()
-
-    def stopProducing(self) -> None:
-        """The transport is gone."""
-
-
-def break_off(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
-    """End a connection as a break ends one, but not before what was said has left: it may be the answer.
-
-    A transport writes in a later turn of the reactor, and an abort throws away what it still holds.
-    """
-    transport.unregisterProducer()
-    transport.registerProducer(_Break(transport), False)
-    deadlines.after(LINGER, lambda: connected() and transport.abortConnection())
-
-
 @implementer(IPullProducer)
 class HostLine(LineReceiver):
     """The lines of a host."""
@@ -102,7 +69,9 @@
     # is a failed connect, after that a reset.
 
     def send_head(self) -> None:
+        """In this turn: in a later one the client may have gone, or the attempt be given up."""
         self.transport.registerProducer(self, False)
+        flush(self.transport)
 
     def resumeProducing(self) -> None:
         if self._head_out:
@@ -136,11 +105,11 @@
 
     def __init__(
         self, client: Waiting, engine: Engine, deadlines: Deadlines, ticket: Ticket, server: int, host: str,
-        head: Head, until: timedelta,
+        head: Head, until: timedelta, begin: timedelta,
     ) -> None:
         self.client, self.engine, self.deadlines = client, engine, deadlines
         self.ticket, self.server, self.host = ticket, server, host
-        self._head, self._until = head, until
+        self._head, self._until, self._begin = head, until, begin
         self.written = self.up = self.done = False
         self.receipt = b""
         self.line: HostLine | None = None
@@ -176,6 +145,13 @@
             log.info("host {host}: drains since the connect began: not sent", host=self.host)
             self.finish(Outcome.CONNECT_FAILED)
             return
+        if not self.client.waits():  # it has left while the connect took its time: no failure of the host
+            self.engine.client_left(self.ticket.request)
+            self.give_up()
+            return
+        if self.deadlines.clock.now() >= self._begin:  # the attempt's time, or that in which it may repeat
+            self.finish(Outcome.CONNECT_FAILED)
+            return
         line.send_head()
 
     def head_parts(self) -> list[bytes]:
@@ -204,7 +180,8 @@
         """What an open connection's host sends."""
         if self.done:
             return
-        self.asked = None
+        if b"\n" in data:  # the start of a line answers nothing: the connection may fall silent right then
+            self.asked = None
         self.client.from_host(data)
         *lines, rest = (self._rest + data).split(CRLF)
         for line in lines:
@@ -257,11 +234,17 @@
         self.deadlines.cancel(self._patience)
 
     def give_up(self) -> None:
-        """Close the connection, or stop connecting. The host sees its end; no second copy goes anywhere."""
+        """Close the connection, or stop connecting. The host sees its end; no second copy goes anywhere.
+
+        It sees it in this turn, before another attempt can have begun. A head that has not left whole is
+        thrown away: sent now, it would be an attempt for nobody.
+        """
         if self.done:
             return
         self._end()
-        if self.line is not None:
+        if self.line is not None and not self.written:
+            self.line.transport.abortConnection()
+        elif self.line is not None:
             close(self.line.transport, self.deadlines, lambda: self.line is not None)
         elif self._connector is not None:
             self._connector.disconnect()
--- a/puffindeck/net/leaving.py
+++ b/puffindeck/net/leaving.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, NamedTuple
 
-from puffindeck.core.clock import span
+from puffindeck.core.clock import ZERO, span
 from puffindeck.core.deadlines import Deadline
+from puffindeck.net.passing import HALF_LINE
 
 if TYPE_CHECKING:
     from puffindeck.net.parts import Parts
@@ -49,11 +50,12 @@
         self._node, self._pace, self._done = node, pace, done
         self._deadlines, self._engine = node.deadlines, node.engine
         self.ends = done is not None  # else the node stays, a lame duck
+        self.late = False  # no more time for anybody
         self._start = self._deadlines.clock.now()
         after = self._deadlines.after
         self._pending: list[Deadline] = [
             after(pace.accept, node.shut_door, self.ends),
-            after(pace.send_from, self._send_away),
+            after(max(ZERO, pace.send_from - HALF_LINE), self._plan_moves),
             after(pace.accept + LOOK, self._look),
         ]
 
@@ -61,23 +63,33 @@
         """Nothing more of it is done."""
         for deadline in self._pending:
             self._deadlines.cancel(deadline)
+        for client in self._node.clients:
+            client.let_pass()
 
-    def _send_away(self) -> None:
+    def _plan_moves(self) -> None:
+        """Each at its own moment; no line is begun before it that may not have ended by then."""
         standing = self._engine.standing()
+        now, begun = self._deadlines.clock.now(), self._start + self._pace.send_from
+        by_request = {client.request: client for client in self._node.clients}
         for i, number in enumerate(standing):
-            wait = self._pace.send_over * i / len(standing)
-            self._pending.append(self._deadlines.after(wait, self._engine.send_away, number))
+            at = begun + self._pace.send_over * i / len(standing)
+            if number in by_request:
+                hold = max(now, at - HALF_LINE)
+                self._pending.append(self._deadlines.at(hold, by_request[number].hold))
+            self._pending.append(self._deadlines.at(at, self._engine.send_away, number))
 
     def _look(self) -> None:
         pace, passed = self._pace, self._deadlines.clock.now() - self._start
-        late = passed >= pace.end
+        self.late = late = passed >= pace.end
         if late:
+            if self.ends:
+                self._node.shut_ports()  # who still waits there is taken in, and answered with the others
             for client in list(self._node.clients):
                 client.close_out(self.ends)
         elif passed >= pace.send_from + pace.send_over:
             for number in self._engine.standing():  # those that came up meanwhile
                 self._engine.send_away(number)
-        if self._done is not None and (late or not self._node.clients):
+        if self._done is not None and (late or (not self._node.clients and self._node.shut_ports())):
             self._done()
         elif not late:
             self._pending.append(self._deadlines.after(LOOK, self._look))
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -16,7 +16,7 @@
 from puffindeck.interface import ListKind, Settings
 from puffindeck.net.client import ClientLine
 from puffindeck.net.discovery import Watch
-from puffindeck.net.door import adopt, listen
+from puffindeck.net.door import Port, adopt, listen
 from puffindeck.net.joining import Joining
 from puffindeck.net.leaving import LAME, RESTART, UPGRADE, Leaving, Pace
 from puffindeck.net.operator import CALLERS, Operator
@@ -29,8 +29,10 @@
 log = Logger("puffindeck")
 
 BACKLOG = 1024  # a storm's connections, all within one turn of the reactor
-SWEEP = span(500)  # how often open connections are looked over for hosts gone silent
-SILENT = span(4500)  # a client's line without an answer this long: two more lines have gone unanswered since
+# A connection that has gone silent has to end within 7 s. Clients send a line every 2 s, so the first without
+# an answer may come 2 s after; another one has gone unanswered since when it has waited this long.
+SWEEP = span(250)  # how often open connections are looked over
+SILENT = span(3250)
 COME_BACK = span(150)  # when a client refused by a node without room may come again
 DROPPED = span(5000)  # how long a class that is dropped is served: its clients learn of it later
 
@@ -175,9 +177,13 @@
                 self.port = adopt(self.reactor, self.told.inherited, ClientFactory(self))
                 self.generation.tell(self.leaving is None)
             log.info("node {name}: ready", name=self.told.name)
-            waiting, self._waiting = self._waiting, []
-            for act in waiting:
-                act(self.leaving is None)
+            self._tell_waiting()
+
+    def _tell_waiting(self) -> None:
+        """Whoever waits to be told whether this node serves is told now."""
+        waiting, self._waiting = self._waiting, []
+        for act in waiting:
+            act(self.leaving is None)
 
     def when_ready(self, act: Callable[[bool], None]) -> None:
         """Say it once the node serves; at once that it does not, when it stops or is a lame duck."""
@@ -215,6 +221,7 @@
             log.info("node {name}: lame duck, {count} to move", name=self.told.name,
                      count=len(self.engine.standing()))
             self.leaving = Leaving(self, LAME, None)
+            self._tell_waiting()
 
     def unlame(self) -> bool:
         """Take clients again. False if it stops for good."""
@@ -246,17 +253,30 @@
             self.fleet.leave()
         longest = span(max(c.deadline_ms for c in self.told.settings.classes))
         self.leaving = Leaving(self, pace.before_kill(longest), self._stopped)
+        self._tell_waiting()
 
     def shut_door(self, for_good: bool) -> None:
-        """Serve nobody more. A lame duck's port stays open: who still comes is told to come again."""
+        """Serve nobody more. The port stays open to the end: who still comes is told to come again.
+
+        A socket that others hold is left to them, with those who wait there.
+        """
         self.shut = True
-        if for_good:
+        if for_good and self.told.inherited is not None:
             self._stop_accepting()
 
     def _stop_accepting(self) -> None:
-        for port in (self.port, *self.more_ports):
-            if port is not None and port.connected:
-                port.stopListening()
+        for port in self._ports():
+            port.shut()
+
+    def _ports(self) -> list[Port]:
+        return [port for port in (self.port, *self.more_ports) if port is not None and port.connected]
+
+    def shut_ports(self) -> bool:
+        came = sum(port.take_in() for port in self._ports()) if self.told.inherited is None else 0
+        late = self.leaving is not None and self.leaving.late
+        if not came or late:
+            self._stop_accepting()
+        return not came
 
     def _stopped(self) -> None:
         self.ended = True
--- a/puffindeck/net/parts.py
+++ b/puffindeck/net/parts.py
@@ -96,6 +96,10 @@
         """Serve nobody more."""
         raise NotImplementedError
 
+    def shut_ports(self) -> bool:
+        """Take in all that wait at the ports, then close those. False if somebody came, who waits too."""
+        raise NotImplementedError
+
     def stop(self) -> None:
         """Answer all, move every standing connection, and go."""
         raise NotImplementedError
--- /dev/null
+++ b/puffindeck/net/passing.py
@@ -0,0 +1,124 @@
+"""A client that is served: bytes pass as they are, and a MOVE only stands between two lines."""
+
+from __future__ import annotations
+
+from twisted.logger import Logger
+
+from puffindeck.core.clock import span
+from puffindeck.core.engine import Link as CoreLink
+from puffindeck.interface import Outcome
+from puffindeck.net.closing import break_off, flush
+from puffindeck.net.heads import CRLF, MAX_LINE
+from puffindeck.net.host import Link
+from puffindeck.net.visitor import OVER, SERVED, Phase, Visitor
+
+log = Logger("puffindeck")
+
+# How long a MOVE waits for the end of a line, and how long before a MOVE the start of a line is held back. A
+# line that is held back for over a second is lost.
+HALF_LINE = span(700)
+
+
+class Passing(Visitor):
+    """A client and its host, joined."""
+
+    _line_open = False  # the client has the start of a host's line, and not its end
+    _tail = b""  # the start of a line that is held back
+
+    def began(self, link: CoreLink) -> None:
+        """Hand the host's own line back, then let all pass."""
+        assert isinstance(link, Link)
+        if self.become(Phase.PASSES):
+            self.link = link
+            self.transport.writeSequence([link.receipt, CRLF])
+            flush(self.transport)
+
+    def ready_for(self, link: Link) -> None:
+        """Join both sides: each is read only as fast as the other takes what it sends."""
+        if self.phase not in SERVED or link.line is None:
+            return
+        host = link.line.transport
+        self.transport.registerProducer(host, True)
+        host.registerProducer(self.transport, True)
+
+    def from_host(self, data: bytes) -> None:
+        """Pass on what the host sends; a client that is to move gets no more than the line it is in."""
+        if self.phase is Phase.PASSES:
+            self._pass(data)
+        elif self.phase is Phase.HOLDS:
+            self._pass_lines(data)
+        elif self.phase is Phase.MOVES:
+            end = data.find(b"\n") + 1
+            self._pass(data[:end] if end else data)
+            if end:
+                self._say_move()
+
+    def _pass(self, data: bytes) -> None:
+        if data:
+            self._line_open = not data.endswith(b"\n")
+            self.transport.write(data)
+
+    def _pass_lines(self, data: bytes) -> None:
+        if self._line_open:
+            end = data.find(b"\n") + 1
+            self._pass(data[:end] if end else data)
+            data = data[end:] if end else b""
+        text = self._tail + data
+        end = len(text) if len(text) > 2 * MAX_LINE else text.rfind(b"\n") + 1
+        self._tail = text[end:]
+        self._pass(text[:end])
+
+    def hold(self) -> None:
+        """It is to be moved within HALF_LINE: no further line is begun that may not end till then."""
+        self.become(Phase.HOLDS)
+
+    def let_pass(self) -> None:
+        """It is not to be moved after all, or its host has ended."""
+        if self.phase is Phase.HOLDS and self.become(Phase.PASSES):
+            tail, self._tail = self._tail, b""
+            self._pass(tail)
+
+    def host_ended(self, clean: bool) -> None:
+        """End the client's side as the host ended its own."""
+        self.let_pass()
+        if self.phase is Phase.MOVES:
+            self._say_move()
+        elif clean:
+            self._finish()
+        elif self.become(Phase.BREAKS):
+            self._drop_id()
+            break_off(self.transport, self.deadlines, lambda: self.phase is not Phase.GONE)
+
+    def move(self) -> bool:
+        """Send the client away between two lines."""
+        if self._line_open and self.link is not None and not self.link.done:
+            if self.become(Phase.MOVES):
+                self.deadlines.after(HALF_LINE, self._say_move)
+        else:
+            self._say_move()
+        return True
+
+    def _say_move(self) -> None:
+        if self.phase not in SERVED:
+            return
+        if self._line_open:
+            log.warn("client: moved in the middle of a line")
+        self._answer(b"MOVE")
+        if self.link is not None:
+            self.link.give_up()
+
+    def silent(self) -> None:
+        """The host has gone silent: to the module a reset, to the client a MOVE.
+
+        In the middle of a line there is no place for one: then only the connection's end is in time.
+        """
+        link = self.link
+        if link is None or link.done or self.phase in OVER:
+            return
+        log.warn("host {host}: silent, its client is moved", host=link.host)
+        if self._line_open:
+            self._finish()
+            link.give_up()
+        else:
+            self._say_move()
+        self.engine.ended(link.ticket, Outcome.RESET)
--- /dev/null
+++ b/puffindeck/net/trying.py
@@ -0,0 +1,92 @@
+"""A client's attempts at hosts, and connections from before the run (`at=ID`), set up there again."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from twisted.logger import Logger
+
+from puffindeck.core.clock import ZERO, span
+from puffindeck.core.engine import Link as CoreLink
+from puffindeck.core.engine import Request, Ticket
+from puffindeck.interface import Outcome
+from puffindeck.net.host import Link
+from puffindeck.net.passing import Passing
+from puffindeck.net.visitor import Phase
+
+log = Logger("puffindeck")
+
+AT_WAIT, AT_TRY = span(40000), span(300)  # how long, how often it is tried
+
+
+class Trying(Passing):
+    """A client that waits for a host: for one that the engine names, or for that which it had before."""
+
+    _ticket: Ticket | None = None
+    _server = 0
+    _until: timedelta = ZERO
+
+    def _set_up_again(self, asked: Request, host: str) -> None:
+        self._server = self.node.directory.number(host)
+        self._until = self.deadlines.clock.now() + AT_WAIT
+        self._ticket = self.engine.opened(self, asked, self._server)
+        self.request = self._ticket.request
+        self._try_at()
+
+    def _try_at(self) -> None:
+        """As often as it takes."""
+        if self.phase is not Phase.ASKS or self._ticket is None or self._head is None:
+            return
+        host = self.node.directory.name(self._server)
+        if self.deadlines.clock.now() >= self._until:
+            log.warn("client: the connection at {host} did not come up again", host=host)
+            self.engine.ended(self._ticket, Outcome.RESET)
+            self.fail()
+            return
+        address = self.node.directory.addresses.get(self._server)
+        if address is None:  # not in a list yet
+            self.deadlines.after(AT_TRY, self._try_at)
+            return
+        link = Link(self, self.engine, self.deadlines, self._ticket, self._server, host, self._head,
+                    self._until, self._until)
+        self.engine.linked(self._ticket, link)
+        self._connect(link, address)
+
+    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> CoreLink | None:
+        """Start an attempt at a host."""
+        assert self._head is not None
+        address = self.node.directory.addresses.get(server)
+        link = Link(self, self.engine, self.deadlines, ticket, server, self.node.directory.name(server),
+                    self._head, until, begin)
+        if address is None:
+            link.finish(Outcome.CONNECT_FAILED)
+            return None
+        self._connect(link, address)
+        return None if link.done else link
+
+    def _connect(self, link: Link, address: tuple[str, int]) -> None:
+        self.node.links.add(link)
+        link.connect(self.node.reactor, address, self.node.connect_patience)
+
+    def link_closed(self, link: Link) -> None:
+        self.node.links.discard(link)
+
+    def host_up(self, link: Link) -> bool:
+        if self._ticket is None:
+            return self.engine.began(link.ticket)
+        self.began(link)
+        return self.phase is Phase.PASSES
+
+    def link_ended(self, link: Link, outcome: Outcome) -> None:
+        if self._ticket is not None and self.phase is Phase.ASKS:
+            self.deadlines.after(AT_TRY, self._try_at)
+        else:
+            self.engine.ended(link.ticket, outcome)
+
+    def _give_up_before(self) -> bool:
+        """Time is up before it stands again. False if this is no such connection."""
+        if self._ticket is None:
+            return False
+        self.engine.client_left(self.request)
+        self.refuse(self.node.come_back())
+        return True
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -137,7 +137,11 @@
 
     # The engine's client
 
-    def open(self, ticket: Ticket, server: int, until: timedelta) -> Link | None:
+    def waits(self) -> bool:
+        """Is it still there to be served?"""
+        return not self._over
+
+    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
         link = BoxLink(self, ticket, server)
         address = self.front.directory.addresses.get(server)
         if address is None or not self.front.engine.may_reach(server) or not link.open(address):
--- a/puffindeck/routing/pooled.py
+++ b/puffindeck/routing/pooled.py
@@ -16,6 +16,7 @@
     ClientLeft,
     DelayTold,
     Detached,
+    Dismissed,
     Ended,
     Entry,
     Event,
@@ -128,6 +129,7 @@
             LoadTold: self._of_request,
             DelayTold: self._of_request,
             ClientLeft: self._of_request,
+            Dismissed: self._of_request,
         }
 
     def handle(self, now_ms: float, events: Iterable[Event]) -> list[Action]:
@@ -321,7 +323,7 @@
         self._tell(place.tier, replace(event, attempt=event.attempt - place.before))
         self._settle(event.request)
 
-    def _of_request(self, event: LoadTold | DelayTold | ClientLeft) -> None:
+    def _of_request(self, event: LoadTold | DelayTold | ClientLeft | Dismissed) -> None:
         place = self.places.get(event.request)
         if place is not None:
             self._tell(place.tier, event)
--- a/puffindeck/rpc/calls.py
+++ b/puffindeck/rpc/calls.py
@@ -98,7 +98,11 @@
             if self._final is None:
                 self._number = number
 
-    def open(self, ticket: Ticket, server: int, until: timedelta) -> Link | None:
+    def waits(self) -> bool:
+        """Is it still there to be served?"""
+        return self._final is None
+
+    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
         address = self.shared.directory.addresses.get(server)
         self._attempts += 1
         if address is None:
--- a/puffindeck/rpc/endpoint.py
+++ b/puffindeck/rpc/endpoint.py
@@ -129,7 +129,11 @@
     def _cancelled(self, _: Deferred[Any]) -> None:
         self.balancing.engine.client_left(self.request)
 
-    def open(self, ticket: Ticket, server: int, until: timedelta) -> Link | None:
+    def waits(self) -> bool:
+        """Is it still there to be served?"""
+        return not self.answer.called
+
+    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
         link = _Attempt(self, ticket, server)
         address = self.balancing.directory.addresses.get(server)
         if address is None:
