A change is known within 6 s of discovery's return, whatever failed before

At fault: Balancer._listed waited up to 2.5 s and half as much by lot after many failures, and a call that was lost in the return took 2.5 s more (roster/watch.ANSWER): 8.7 s in all. A silent watch took 4 s, a first wait of up to 0.75 s and an answer of up to 2.5 s: 7.2 s. Octets of a line that never ends kept a watch alive for good (Watch.alive), and those of a whole list its call. A change with a lower version, from a discovery that counts anew, was passed over by the module with its drains. Where lists are pushed, an agent that was silent was asked every 1.75 s, while what it gets at its return counts at once: now another call is out beside those before it every 0.3 s, four at most, and the first answer holds.

Clients that asked PING before readiness were no longer at the door, so counted as served: nothing bounded them while discovery was away. They have a phase of their own now (INQUIRES), and may be put out.

Also: an answer that has come unread when its deadline expires, or when silence is told, is read first (Engine._expired, Node._sweep: timers go before octets); a MOVE that finds the middle of a line waits for its end, and where there is none the connection is ended without it.

--- a/puffindeck/choice/balancer.py
+++ b/puffindeck/choice/balancer.py
@@ -12,6 +12,7 @@
 )
 from puffindeck.records import INF, Server
 
+ASK_MS, ASK_MOST_MS = 250.0, 650.0  # how soon a failed list is asked for again, about
 OUT_MS = 1200.0  # over how long the connections of a server that is taken out are sent away
 
 
@@ -58,9 +59,10 @@
 
     def _listed(self, event: Listed) -> None:
         if event.kind == ListKind.FAILED:
-            # asked again with growing waits, always within the time after which we count as told
+            # asked again with growing waits. A change counts as told 6 s after it could be had: a call that
+            # was lost, a wait and an answer have to fit in that, however often it has failed before
+            wait = min(ASK_MS * 2**min(self.list_fails, 9), ASK_MOST_MS, self.settings.ask_within_ms / 4)
             self.list_fails += 1
-            wait = min(250.0 * 2**min(self.list_fails, 9), self.settings.ask_within_ms / 4)
             self._at(self.now + wait * (0.5 + self.random.random()), self._ask, None)
             return
         if event.kind == ListKind.CHANGES and event.version < self.version:
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -77,6 +77,9 @@
     def give_up(self) -> None:
         """End it; nothing more is told of it."""
 
+    def look(self) -> None:
+        """Take in what the server has said by now: an answer that came in time counts, read late or not."""
+
 
 class Client(Protocol):
     """A front's side of a request: whoever waits for its answer."""
@@ -357,10 +360,18 @@
             held.link = link
 
     def _expired(self, ticket: Ticket) -> None:
-        held = self._current(ticket)
-        if held is not None and not held.begun:
+        held = self._without_answer(ticket)
+        if held is not None:
             self._cut(held, Outcome.TIMEOUT)
 
+    def _without_answer(self, ticket: Ticket) -> Held | None:
+        """The holder of an attempt that is out, if its server has indeed said nothing by this moment."""
+        held = self._current(ticket)
+        if held is not None and held.link is not None and not held.begun:
+            held.link.look()
+            held = self._current(ticket)
+        return held if held is not None and not held.begun else None
+
     def _cut(self, held: Held, outcome: Outcome) -> None:
         link = held.link
         self.ended(Ticket(held.number, held.attempts - 1), outcome)
@@ -406,8 +417,8 @@
             self._settle(held)
 
     def _cancel(self, action: Cancel) -> None:
-        held = self._current(Ticket(action.request, action.attempt))
-        if held is not None and not held.begun:
+        held = self._without_answer(Ticket(action.request, action.attempt))
+        if held is not None:
             self._cut(held, Outcome.CANCELLED)
 
     def _move(self, action: Move) -> None:
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -10,7 +10,7 @@
 from puffindeck.core.engine import Request
 from puffindeck.interface import Facts, Outcome
 from puffindeck.net.closing import flush, take_in
-from puffindeck.net.heads import Head, HeadError
+from puffindeck.net.heads import CRLF, Head, HeadError
 from puffindeck.net.trying import Trying
 from puffindeck.net.visitor import FIRST_LINE, OVER, SERVED, UNASKED, Phase
 
@@ -20,6 +20,8 @@
 class ClientLine(Trying):
     """One client. Its request stands in the engine's table; its link, once there is one, is its host's."""
 
+    _questions = 0  # that wait for their answer
+
     # The first line
 
     def lineReceived(self, line: bytes) -> None:
@@ -27,9 +29,7 @@
             return
         more = self.clearLineBuffer()
         if line == b"PING" and not more:
-            self.deadlines.cancel(self._patience)
-            self.node.door.asks(self)
-            self.node.when_ready(self.pong)
+            self._inquire()
             return
         try:
             if more:  # a client waits for its answer before it sends anything else
@@ -45,6 +45,23 @@
             return
         self._ask(head, cls)
 
+    def _inquire(self) -> None:
+        """It stays at the door, and may be put out for room: before readiness nobody is served yet."""
+        self._questions += 1
+        if self.become(Phase.INQUIRES):
+            self.deadlines.cancel(self._patience)
+            self.node.when_ready(self.pong)
+
+    def pong(self, ready: bool) -> None:
+        """Whether this node serves is known, and told as often as it was asked."""
+        if self.become(Phase.RESTS):
+            answer = (b"PONG" if ready else b"BUSY") + CRLF
+            questions, self._questions = self._questions, 0
+            self.transport.write(answer * questions)
+            flush(self.transport)
+            self._wait(FIRST_LINE)
+            self.node.door.rests(self)
+
     def _ask(self, head: Head, cls: int) -> None:
         self.become(Phase.ASKS)
         self._head = head
@@ -71,13 +88,6 @@
     def lineLengthExceeded(self, line: bytes) -> None:
         self._turn_away("over 4 KiB")
 
-    def pong(self, ready: bool) -> None:
-        if self.become(Phase.RESTS):
-            self.sendLine(b"PONG" if ready else b"BUSY")
-            flush(self.transport)
-            self._wait(FIRST_LINE)
-            self.node.door.rests(self)
-
     def rawDataReceived(self, data: bytes) -> None:
         if self.phase in SERVED and self.link is not None:
             self.link.send(data)
@@ -97,6 +107,7 @@
         self.node.clients.discard(self)
         self.node.door.gone(self)
         self.deadlines.cancel(self._patience)
+        self.node.no_longer(self.pong)
         if before in OVER:
             return
         self._drop_id()
--- a/puffindeck/net/discovery.py
+++ b/puffindeck/net/discovery.py
@@ -3,101 +3,42 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
-from twisted.internet import endpoints
 from twisted.internet.defer import Deferred
 from twisted.logger import Logger
-from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
-from twisted.web.client import URI, Agent, HTTPConnectionPool
-from twisted.web.iweb import IAgentEndpointFactory
-from zope.interface import implementer
+from twisted.web.client import Agent, HTTPConnectionPool
 
 from puffindeck.config import Members
 from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Engine
 from puffindeck.interface import ListKind
+from puffindeck.net.listing import Endpoints, WatchLines, WholeList
 from puffindeck.roster.directory import Directory
-from puffindeck.roster.watch import AGAIN, ANSWER, AT_ONCE, MOST, SILENT, WatchError, WatchState, kind
+from puffindeck.roster.watch import (
+    AGAIN,
+    ANSWER,
+    AT_ONCE,
+    BESIDE,
+    LIST,
+    SILENT,
+    WatchError,
+    WatchState,
+    kind,
+)
 
 log = Logger("puffindeck")
 
 
-@implementer(IAgentEndpointFactory)
-class _Endpoints:
-    """Straight to an address: hosts here have no names to look up."""
-
-    def __init__(self, reactor: Any) -> None:
-        self._reactor = reactor
-
-    def endpointForURI(self, uri: URI) -> Any:
-        host = uri.host.decode()
-        kind = endpoints.TCP6ClientEndpoint if ":" in host else endpoints.TCP4ClientEndpoint
-        return kind(self._reactor, host, uri.port, timeout=2)
-
-
-class _Lines(LineOnlyReceiver):
-    """The lines of a watch."""
-
-    delimiter = b"\n"
-    MAX_LENGTH = MOST
-    transport: Any = None
-
-    def __init__(self, watch: Watch) -> None:
-        self.watch: Watch | None = watch
-
-    def dataReceived(self, data: bytes) -> None:
-        if self.watch is not None:
-            self.watch.alive()
-        super().dataReceived(data)
-
-    def lineReceived(self, line: bytes) -> None:
-        if self.watch is not None:
-            self.watch.line(line)
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        if self.watch is not None:
-            self.watch.broken("a line over 4 MiB")
-
-    def connectionLost(self, reason: Any = None) -> None:
-        if self.watch is not None:
-            self.watch.broken("it ended")
-
-    def drop(self) -> None:
-        """Close it; nothing more is heard of it."""
-        self.watch = None
-        if self.transport is not None:
-            self.transport.loseConnection()
-
-
-class _Whole(_Lines):
-    """The answer that has the whole list, read to its end."""
-
-    def __init__(self, watch: Watch) -> None:
-        super().__init__(watch)
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data: bytes) -> None:
-        if self.watch is not None:
-            self.watch.alive()
-        self._parts.append(data)
-        self._size += len(data)
-        if self._size > self.MAX_LENGTH and self.watch is not None:
-            self.watch.broken("a list over 4 MiB")
-
-    def connectionLost(self, reason: Any = None) -> None:
-        if self.watch is not None:  # one cut short can't be read
-            self.watch.whole(b"".join(self._parts))
-
-
 class Watch:
     """One watch at a time. When it breaks the module is told, and says when to ask again.
 
     With no version to watch from, the whole list is asked for first. Where lists are pushed nobody says when
     to ask: what the agent on this machine holds counts as told whether it is watched or not. So it is watched
-    from the start, and when a watch has broken all that it holds is read anew.
+    from the start, and when a watch has broken all that it holds is read anew. One that is silent is asked
+    again and again, beside the calls that are out: what it gets when it is back counts at once.
     """
 
     def __init__(
@@ -107,12 +48,12 @@
         host, port = discovery
         self._base = f"http://[{host}]:{port}" if ":" in host else f"http://{host}:{port}"
         pool = HTTPConnectionPool(reactor, persistent=False)
-        self._agent = Agent.usingEndpointFactory(reactor, _Endpoints(reactor), pool)
+        self._agent = Agent.usingEndpointFactory(reactor, Endpoints(reactor), pool)
         self._deadlines, self._directory, self._engine = deadlines, directory, engine
         self._pushed = pushed
         self._state, self._heard = WatchState(None if pushed else version), heard
-        self._call: Deferred[Any] | None = None
-        self._lines: _Lines | None = None
+        self._calls: list[Deferred[Any]] = []  # oldest first; only a silent agent has more than one
+        self._lines: WatchLines | None = None
         self._patience: Deadline | None = None
         self._ending: Deadline | None = None  # when a list that has begun must have ended
         self._again: Deadline | None = None
@@ -130,45 +71,78 @@
 
     def ask(self) -> None:
         """Watch from what is known on. A call while one is out would cost discovery twice."""
-        if self._call is not None or self._lines is not None or self._stopped:
+        if self._calls or self._lines is not None or self._stopped:
             return
-        url = self._base + self._state.target()
         self._deadlines.cancel(self._again)
-        self._patience = self._deadlines.after(AT_ONCE if self._pushed else ANSWER, self.broken, "no answer")
-        self._call = call = self._agent.request(b"GET", url.encode())
-        call.addCallbacks(self._answered, self._refused)
-
-    def _answered(self, response: Any) -> None:
-        self._call = None
-        if self._stopped:
+        if self._pushed:
+            self._patience = self._deadlines.after(AT_ONCE, self._ask_beside)
+        else:
+            self._patience = self._deadlines.after(ANSWER, self.broken, "no answer")
+        self._call()
+
+    def _ask_beside(self) -> None:
+        """The agent is silent, or this process too busy to read: whichever call is answered counts."""
+        if len(self._calls) == 1:
+            self._failed("no answer")
+        while len(self._calls) >= BESIDE:
+            self._calls.pop(0).cancel()
+        self._state = WatchState()
+        self._patience = self._deadlines.after(AT_ONCE, self._ask_beside)
+        self._call()
+
+    def _call(self) -> None:
+        watching, url = self._state.watching, self._base + self._state.target()
+        call = self._agent.request(b"GET", url.encode())
+        self._calls.append(call)
+        call.addCallbacks(self._answered, self._refused, (call, watching), None, (call,))
+
+    def _answered(self, response: Any, call: Deferred[Any], watching: bool) -> None:
+        if call not in self._calls:  # given up, and answered in that very moment
+            lines = WatchLines(None)
+            response.deliverBody(lines)
+            lines.drop()
             return
-        self._lines = lines = _Lines(self) if self._state.watching else _Whole(self)
+        self._calls.remove(call)
+        self._give_up_calls()
+        self._lines = lines = WatchLines(self) if watching else WholeList(self)
         if response.code != 200:  # one failure, not a second one when its body ends
-            lines.watch = None
+            lines.reader = None
             response.deliverBody(lines)
             self.broken(f"status {response.code}")
             return
-        self.alive()
+        if watching:
+            self.alive()
+        elif self._pushed:  # where lists are asked for, its end is due as its answer is
+            self._wait(ANSWER)
         response.deliverBody(lines)
 
-    def _refused(self, failure: Failure) -> None:
-        if self._call is not None:
-            self._call = None
-            self.broken(failure.getErrorMessage())
+    def _refused(self, failure: Failure, call: Deferred[Any]) -> None:
+        if call in self._calls:
+            self._calls.remove(call)
+            if not self._calls:
+                self.broken(failure.getErrorMessage())
+
+    def _wait(self, patience: timedelta) -> None:
+        """Octets are due within this."""
+        self._deadlines.cancel(self._patience)
+        self._patience = self._deadlines.after(patience, self.broken, "silent")
 
     def alive(self) -> None:
         """Octets have come. Silence counts from the last of them, be they half a line."""
-        self._deadlines.cancel(self._patience)
-        self._patience = self._deadlines.after(SILENT, self.broken, "silent")
+        self._wait(SILENT)
 
     def line(self, line: bytes) -> None:
         """An empty line says only that the watch is alive, and that nothing is news."""
         if self._read(self._state.line, line) and not self._state.begun:
+            self._cancel_ending()
             self._heard()
-        if self._state.begun and self._ending is None:
-            self._ending = self._deadlines.after(SILENT, self.broken, "a list that does not end")
-        elif not self._state.begun:
+
+    def unfinished(self, goes_on: bool) -> None:
+        """A list that trickles in is one that does not come."""
+        if not goes_on and not self._state.begun:
             self._cancel_ending()
+        elif self._ending is None:
+            self._ending = self._deadlines.after(LIST, self.broken, "a list that does not end")
 
     def whole(self, text: bytes) -> None:
         """The whole list has come, and what changes in it from now on is watched."""
@@ -195,24 +169,30 @@
         """The call or the watch has failed."""
         self._drop()
         if not self._stopped:
-            log.warn("discovery: watch broken: {why}", why=why)
             if self._pushed:
                 self._state = WatchState()
                 self._deadlines.cancel(self._again)
                 self._again = self._deadlines.after(AGAIN, self.ask)
-            self._engine.listed(ListKind.FAILED)
-            self._heard()
+            self._failed(why)
+
+    def _failed(self, why: str) -> None:
+        log.warn("discovery: watch broken: {why}", why=why)
+        self._engine.listed(ListKind.FAILED)
+        self._heard()
 
     def _drop(self) -> None:
         self._deadlines.cancel(self._patience)
         self._cancel_ending()
-        call, lines = self._call, self._lines
-        self._call = self._lines = None
-        if call is not None:
-            call.cancel()
+        self._give_up_calls()
+        lines, self._lines = self._lines, None
         if lines is not None:
             lines.drop()
 
+    def _give_up_calls(self) -> None:
+        calls, self._calls = self._calls, []
+        for call in calls:
+            call.cancel()
+
     def stop(self) -> None:
         self._stopped = True
         self._deadlines.cancel(self._again)
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -16,7 +16,7 @@
 from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Engine, Ticket
 from puffindeck.interface import Outcome
-from puffindeck.net.closing import close, flush
+from puffindeck.net.closing import close, flush, take_in
 from puffindeck.net.heads import CRLF, MAX_LINE, Head
 
 log = Logger("puffindeck")
@@ -33,6 +33,9 @@
     def waits(self) -> bool:
         """Is there still somebody to be served, at this very moment?"""
 
+    def held_up(self) -> bool:
+        """Does the other side take so little that the host is not read for now?"""
+
     def host_up(self, link: Link) -> bool:
         """The host is up: is there still somebody to hand it to?"""
 
@@ -249,6 +252,11 @@
         elif self._connector is not None:
             self._connector.disconnect()
 
+    def look(self) -> None:
+        """Take in what the host has said by now."""
+        if self.line is not None and self.written and not self.client.held_up():
+            take_in(self.line.transport)
+
     def abort(self) -> None:
         """End it as a broken connection ends."""
         if not self.done:
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -181,7 +181,7 @@
 
     def _tell_waiting(self) -> None:
         """Whoever waits to be told whether this node serves is told now."""
-        waiting, self._waiting = self._waiting, []
+        waiting, self._waiting = self._waiting, {}
         for act in waiting:
             act(self.leaving is None)
 
@@ -190,7 +190,7 @@
         if self.ready or self.leaving is not None:
             act(self.leaving is None)
         else:
-            self._waiting.append(act)
+            self._waiting[act] = None
 
     def crowded(self) -> bool:
         """Are there too few descriptors left for one more client and its host?"""
@@ -210,7 +210,9 @@
         for client in list(self.clients):
             link = client.link
             if link is not None and not link.done and link.waited(now) > SILENT:
-                client.silent()
+                link.look()  # this process may have been held up itself
+                if link.waited(now) > SILENT:
+                    client.silent()
         self.deadlines.after(SWEEP, self._sweep)
 
     # What staff ask for
--- a/puffindeck/net/parts.py
+++ b/puffindeck/net/parts.py
@@ -64,7 +64,7 @@
         self.few_records = Few(log, self.deadlines, "staff: records can't be read")
         self.ready = self.shut = self.ended = False
         self.leaving: Any = None  # Leaving
-        self._waiting: list[Callable[[bool], None]] = []
+        self._waiting: dict[Callable[[bool], None], None] = {}  # in the order in which they asked
         self.records, self.detached = Records(told.folder / "detached"), set[str]()
         self.generation = Generation(told.folder / "processes")
         self.port: Any = None
@@ -108,6 +108,10 @@
         """Say it once the node serves."""
         raise NotImplementedError
 
+    def no_longer(self, act: Callable[[bool], None]) -> None:
+        """Whoever waited for that has gone."""
+        self._waiting.pop(act, None)
+
     def crowded(self) -> bool:
         """Are there too few descriptors left for one more client and its host?"""
         raise NotImplementedError
--- a/puffindeck/net/passing.py
+++ b/puffindeck/net/passing.py
@@ -14,8 +14,7 @@
 
 log = Logger("puffindeck")
 
-# How long a MOVE waits for the end of a line, and how long before a MOVE the start of a line is held back. A
-# line that is held back for over a second is lost.
+# How long before a MOVE the start of a line is held back. A line that is held back for over a second is lost.
 HALF_LINE = span(700)
 
 
@@ -41,6 +40,9 @@
         self.transport.registerProducer(host, True)
         host.registerProducer(self.transport, True)
 
+    def held_up(self) -> bool:
+        return bool(self.transport.producerPaused)
+
     def from_host(self, data: bytes) -> None:
         """Pass on what the host sends; a client that is to move gets no more than the line it is in."""
         if self.phase is Phase.PASSES:
@@ -90,10 +92,12 @@
             break_off(self.transport, self.deadlines, lambda: self.phase is not Phase.GONE)
 
     def move(self) -> bool:
-        """Send the client away between two lines."""
+        """Send the client away between two lines: the one it is in the middle of passes to its end.
+
+        One that does not end is found by its silence, or ended with this process.
+        """
         if self._line_open and self.link is not None and not self.link.done:
-            if self.become(Phase.MOVES):
-                self.deadlines.after(HALF_LINE, self._say_move)
+            self.become(Phase.MOVES)
         else:
             self._say_move()
         return True
@@ -101,9 +105,11 @@
     def _say_move(self) -> None:
         if self.phase not in SERVED:
             return
-        if self._line_open:
-            log.warn("client: moved in the middle of a line")
-        self._answer(b"MOVE")
+        if self._line_open:  # a MOVE has no place there: it would be read as part of the line
+            log.warn("client: ended in the middle of a line that its host did not end")
+            self._finish()
+        else:
+            self._answer(b"MOVE")
         if self.link is not None:
             self.link.give_up()
 
--- a/puffindeck/net/visitor.py
+++ b/puffindeck/net/visitor.py
@@ -27,7 +27,8 @@
     """Where a client's connection is. docs/design/lifecycle.md has every crossing of two events."""
 
     NEW = auto()  # nothing whole has come yet
-    RESTS = auto()  # it has asked whether this node is ready, and nothing since
+    INQUIRES = auto()  # it has asked whether this node is ready, which is told once that is known
+    RESTS = auto()  # that was told, and it has asked nothing since
     ASKS = auto()  # its request is with the engine, and owed its one answer
     PASSES = auto()  # served: bytes pass as they are
     HOLDS = auto()  # served, soon to be moved: whole lines pass, and the start of one waits for its end
@@ -39,8 +40,9 @@
 
 # Whoever comes second finds that the phase can't be reached any more, and does nothing.
 NEXT: dict[Phase, frozenset[Phase]] = {
-    Phase.NEW: frozenset({Phase.RESTS, Phase.ASKS, Phase.ENDS, Phase.GONE}),
-    Phase.RESTS: frozenset({Phase.RESTS, Phase.ASKS, Phase.ENDS, Phase.GONE}),
+    Phase.NEW: frozenset({Phase.INQUIRES, Phase.ASKS, Phase.ENDS, Phase.GONE}),
+    Phase.INQUIRES: frozenset({Phase.RESTS, Phase.ASKS, Phase.ENDS, Phase.GONE}),
+    Phase.RESTS: frozenset({Phase.INQUIRES, Phase.ASKS, Phase.ENDS, Phase.GONE}),
     Phase.ASKS: frozenset({Phase.PASSES, Phase.ENDS, Phase.GONE}),
     Phase.PASSES: frozenset({Phase.HOLDS, Phase.MOVES, Phase.ENDS, Phase.BREAKS, Phase.GONE}),
     Phase.HOLDS: frozenset({Phase.PASSES, Phase.MOVES, Phase.ENDS, Phase.BREAKS, Phase.GONE}),
@@ -49,7 +51,7 @@
     Phase.BREAKS: frozenset({Phase.GONE}),
     Phase.GONE: frozenset(),
 }
-UNASKED = frozenset({Phase.NEW, Phase.RESTS})
+UNASKED = frozenset({Phase.NEW, Phase.INQUIRES, Phase.RESTS})
 SERVED = frozenset({Phase.PASSES, Phase.HOLDS, Phase.MOVES})
 OVER = frozenset({Phase.ENDS, Phase.BREAKS, Phase.GONE})
 
@@ -94,7 +96,7 @@
         self._patience = None
         if self.phase in UNASKED:
             take_in(self.transport)
-        if self._patience is not None or self.phase not in UNASKED | {Phase.ENDS}:
+        if self._patience is not None or self.phase not in (Phase.NEW, Phase.RESTS, Phase.ENDS):
             return  # it has asked in this very moment
         if self.phase is Phase.ENDS:
             self.put_out()
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -110,6 +110,9 @@
                 self.flow.end()
             self.flow.front.engine.ended(self.ticket, outcome)
 
+    def look(self) -> None:
+        """Nothing waits unread here."""
+
     def give_up(self) -> None:
         if not self.done:
             self.done = True
--- a/puffindeck/roster/watch.py
+++ b/puffindeck/roster/watch.py
@@ -14,9 +14,14 @@
 from puffindeck.interface import ListKind
 
 PATH = "/catalog/members"
-ANSWER = span(2500)  # how long a call may go without an answer
-SILENT = span(4000)  # an empty line comes each 2 s; what a silent watch misses counts as told 6 s later
-AT_ONCE = span(1500)  # how long an agent on the same machine, which waits for nobody, may take to answer
+# What changes counts as told 6 s after discovery had it and could be reached, whatever failed before. So a
+# call that was lost while it was down, the module's wait (at most a second) and the next answer fit in that,
+# and so do a watch that has fallen silent, a wait and an answer. A call may wait 2 s for its turn.
+ANSWER = span(2250)  # how long a call may go without an answer, headers and, of a list, all
+SILENT = span(3000)  # an empty line comes each 2 s
+LIST = span(3000)  # how long a list that has begun may take to end, however alive its watch is
+AT_ONCE = span(300)  # an agent on the same machine waits for nobody: by now it is silent, and asked beside
+BESIDE = 4  # calls to a silent agent at once; the oldest is given up
 AGAIN = span(250)  # how soon such an agent, which costs nothing, is asked again
 MOST = 1 << 22  # octets of a line, or of the whole list
 TRUNCATED = "Input data was truncated"  # as msgspec says that an object goes on
@@ -82,7 +87,11 @@
             raise WatchError(f"a list that can't be read: {error}") from None
 
     def _know(self, members: Members) -> Members:
-        self._begun, self.version = b"", members.rev
+        self._begun = b""
+        if not members.all and self.version is not None and members.rev < self.version:
+            known, self.version = self.version, None
+            raise WatchError(f"version {members.rev} after {known}: it counts anew, the list is read whole")
+        self.version = members.rev
         return members
 
 
--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -64,6 +64,9 @@
         else:
             self._watch()
 
+    def look(self) -> None:
+        """Nothing waits unread here."""
+
     def give_up(self) -> None:
         """End it; nothing more is told of it."""
         if not self._gave_up:
--- a/puffindeck/rpc/endpoint.py
+++ b/puffindeck/rpc/endpoint.py
@@ -233,6 +233,9 @@
             self.give_up()
             self._engine.ended(self._ticket, outcome)
 
+    def look(self) -> None:
+        """Nothing waits unread here."""
+
     def give_up(self) -> None:
         if not self.done:
             self.done = True
--- /dev/null
+++ b/tests/crossing.py
@@ -0,0 +1,71 @@
+"""Plain sockets beside the reactor's: they put octets and ends into the kernel without a turn of the reactor.
+
+So each order of two events that fall together is caused.
+"""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet.threads import deferToThread
+
+from puffindeck.net.client import ClientLine
+from puffindeck.net.visitor import Phase
+from tests.stories import SETTINGS, Peer, Story
+
+ASK = "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,d=1100"
+CHAT = SETTINGS.classes[0]
+
+
+class CrossingStory(Story):
+    """A node, and clients on plain sockets."""
+
+    def raw(self) -> socket.socket:
+        plain = socket.create_connection(("127.0.0.1", self.node.port.getHost().port))
+        plain.settimeout(5)
+        self.addCleanup(plain.close)
+        return plain
+
+    async def met(self) -> tuple[socket.socket, ClientLine]:
+        """A client that has said nothing, and the node's side of it."""
+        before = set(self.node.clients)
+        plain = self.raw()
+        await self.until(lambda: self.node.clients - before, "the accept")
+        (line,) = self.node.clients - before
+        return plain, line
+
+    async def reads(self, plain: socket.socket) -> bytes:
+        """All that a client is told until the end; a reset raises ConnectionResetError."""
+
+        def read() -> bytes:
+            text = b""
+            while piece := plain.recv(4096):
+                text += piece
+            return text
+
+        return bytes(await deferToThread(read))
+
+    def reached(self) -> bool:
+        return any(host.peers for host in self.hosts.values())
+
+    async def resting(self) -> tuple[socket.socket, ClientLine]:
+        watch = await self.watched()
+        self.news(watch, 2, False)
+        await self.until(lambda: self.node.ready, "readiness")
+        plain, line = await self.met()
+        plain.sendall(b"PING\r\n")
+        await self.until(lambda: line.phase is Phase.RESTS, "PONG")
+        return plain, line
+
+    async def exactly(self, plain: socket.socket, count: int) -> bytes:
+        return bytes(await deferToThread(plain.recv, count, socket.MSG_WAITALL))
+
+    async def hung(self, **rules: Any) -> tuple[Peer, Peer]:
+        """A client whose request is with a host that says nothing."""
+        self.build(classes=(replace(CHAT, **rules),))
+        client = await self.client(ASK)
+        _, host = await self.host_of()
+        await host.line()
+        return client, host
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,158 @@
+"""Attempts: a client that leaves, time that passes or an answer that comes in the moment of their end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+from puffindeck.core.clock import span
+from puffindeck.core.engine import Ticket
+from puffindeck.interface import ClientLeft, Effect, Ended, Outcome
+from puffindeck.net import host as host_module
+from puffindeck.net.host import HostLine, Link
+from puffindeck.net.visitor import Phase
+from tests.crossing import ASK, CHAT, CrossingStory
+
+
+class LeaverStories(CrossingStory):
+    """Clients that leave, and the reactor has not come to it."""
+
+    def at_connect(self, do: Callable[[], None]) -> Any:
+        """Have something happen in the moment in which a host's connection comes up."""
+        made = HostLine.connectionMade
+
+        def first(line: HostLine) -> None:
+            do()
+            made(line)
+
+        return patch.object(HostLine, "connectionMade", first)
+
+    async def test_no_attempt_for_a_client_that_closed_right_behind_its_request(self) -> None:
+        self.build()
+        plain, line = await self.met()
+        plain.sendall(ASK.encode() + b"\r\n")
+        plain.close()
+        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        self.assertFalse(self.node.links)
+        self.assertFalse(self.reached())
+        self.assertEqual(len(self.ends(ClientLeft)), 1)
+
+    async def test_no_byte_goes_out_where_the_client_left_while_the_connect_took_its_time(self) -> None:
+        self.build()
+        plain, line = await self.met()
+        with self.at_connect(plain.close):
+            plain.sendall(ASK.encode() + b"\r\n")
+            _, host = await self.host_of()
+            await host.ended()
+        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        self.assertTrue(host.left(b""))
+        self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.CANCELLED])
+        self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
+
+    async def test_no_further_attempt_for_a_client_that_left_when_the_first_one_failed(self) -> None:
+        self.build()
+        plain, line = await self.met()
+        plain.sendall(ASK.encode() + b"\r\n")
+        _, host = await self.host_of()
+        await host.line()
+        (link,) = self.node.links
+        plain.close()
+        link.finish(Outcome.ERROR)  # the host's word, in the turn in which the client's end has come
+        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
+
+    async def test_an_attempt_whose_time_is_over_when_its_connection_comes_up_is_not_begun(self) -> None:
+        self.build()
+        client = await self.client()
+
+        def late() -> None:
+            for link in self.node.links:
+                link._begin = self.node.deadlines.clock.now()
+
+        with self.at_connect(late):
+            client.write(ASK.encode() + b"\r\n")
+            _, host = await self.host_of()
+            await host.ended()
+            self.assertTrue(host.left(b""))
+            self.assertEqual(self.ends(Ended)[0].outcome, Outcome.CONNECT_FAILED)
+
+    async def test_a_repeat_begins_within_the_window_or_not_at_all(self) -> None:
+        self.build(classes=(replace(CHAT, effect=Effect.KEYED, window_ms=400.0),))
+        client = await self.client(ASK)
+        uid, host = await self.host_of()
+        await host.line()
+        begins: list[Any] = []
+        connect = Link.connect
+
+        def noted(link: Link, *args: Any) -> None:
+            begins.append(link._begin - self.node.deadlines.clock.now())
+            connect(link, *args)
+
+        with patch.object(Link, "connect", noted):
+            host.transport.abortConnection()
+            _, second = await self.host_of(uid)
+            await second.line()
+        self.assertLess(begins[0], span(400))
+        second.transport.abortConnection()
+        self.assertRegex(await client.line(), rb"^BUSY \d+$|^ERR$")  # at once: nothing may be sent any more
+
+
+class AnswerStories(CrossingStory):
+    """A host's answer, and its end."""
+
+    async def test_up_that_has_come_when_the_deadline_expires_is_handed_on(self) -> None:
+        # timers go before octets: a node that was held up gave up what had been answered in time
+        client, host = await self.hung(effect=Effect.UNSAFE)
+        (line,) = self.node.clients
+        host.transport.getHandle().send(b"UP r9\r\n")
+        self.node.engine._expired(Ticket(line.request, 0))
+        self.assertEqual(await client.line(), b"UP r9")
+        self.assertIs(line.phase, Phase.PASSES)
+
+    async def test_an_attempt_without_an_answer_ends_with_its_deadline(self) -> None:
+        client, host = await self.hung(effect=Effect.UNSAFE)
+        (line,) = self.node.clients
+        self.node.engine._expired(Ticket(line.request, 0))
+        self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual(await host.ended(), "ConnectionDone")
+
+    async def test_a_head_that_has_not_left_is_thrown_away(self) -> None:
+        made = HostLine.connectionMade
+
+        def then(line: HostLine) -> None:
+            made(line)
+            self.node.engine.client_left(line.link.ticket.request)
+
+        self.build()
+        with (patch.object(host_module, "flush", lambda transport: None),
+              patch.object(HostLine, "connectionMade", then)):
+            await self.client(ASK)
+            _, host = await self.host_of()
+            await host.ended()
+        self.assertTrue(host.left(b""))
+
+    async def test_an_answer_cut_in_the_middle_is_a_failed_attempt(self) -> None:
+        client, host = await self.hung(effect=Effect.UNSAFE)
+        host.write(b"UP r")
+        host.transport.loseConnection()
+        self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.RESET])
+
+    async def test_an_answer_that_never_ends_is_a_failed_attempt(self) -> None:
+        client, host = await self.hung(effect=Effect.UNSAFE)
+        host.write(b"UP " + b"r" * 5000)
+        self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.ERROR])
+        await host.ended()
+
+    async def test_an_answer_behind_the_end_of_an_attempt_is_not_heard(self) -> None:
+        client, host = await self.hung(effect=Effect.UNSAFE)
+        (link,) = self.node.links
+        host.transport.getHandle().send(b"ERR\r\nUP r9\r\n")
+        self.assertEqual(await client.line(), b"ERR")
+        await client.ended()
+        self.assertTrue(client.left(b""))
+        self.assertTrue(link.done)
+        self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.ERROR])
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -34,8 +34,8 @@
     return b"%x\r\n%s\r\n" % (len(text), text)
 
 
-class AgentStories(Story):
-    """Lists that are pushed to an agent on the node's machine: nobody asks the node to watch it."""
+class ListStory(Story):
+    """A node and its discovery, call by call."""
 
     def all(self) -> list[Target]:
         return [self.target(uid) for uid in self.hosts]
@@ -57,8 +57,17 @@
     def lists(self) -> list[tuple[ListKind, int]]:
         return [(e.kind, e.version) for e in self.ends(Listed)]
 
+    async def pause(self, seconds: float) -> None:
+        waiting: list[int] = []
+        reactor.callLater(seconds, waiting.append, 1)
+        await self.until(lambda: waiting, "a turn")
+
+
+class AgentStories(ListStory):
+    """Lists that are pushed to an agent on the node's machine: nobody asks the node to watch it."""
+
     async def test_the_agent_is_read_whole_from_the_start_and_anew_after_each_silence(self) -> None:
-        with patch.object(discovery, "SILENT", span(100)), patch.object(discovery, "AT_ONCE", span(100)):
+        with patch.object(discovery, "SILENT", span(100)):
             self.build(must_ask=False)
             ping = await self.client("PING")
             await self.whole(41, *self.all())
@@ -66,8 +75,8 @@
             await (await self.followed(41)).ended()  # silent: nothing more comes, and it is let go
             mute = await self.discovery.next()  # discovery is down: the agent takes the call and says nothing
             self.assertEqual(await mute.line(), WHOLE)
+            await self.whole(44, self.target("h1"))  # to the call beside it
             await mute.ended()
-            await self.whole(44, self.target("h1"))
             await self.followed(44)
             await self.until(lambda: self.lists()[-1] == (ListKind.FULL, 44), "what changed meanwhile")
         self.assertFalse(self.node.engine.known(self.node.directory.number("h0")))
@@ -102,7 +111,7 @@
         await self.until(lambda: self.lists()[-1] == (ListKind.CHANGES, 43), "the indented list")
 
     async def test_a_list_that_does_not_end_breaks_the_watch_though_it_is_alive(self) -> None:
-        with patch.object(discovery, "SILENT", span(150)):
+        with patch.object(discovery, "LIST", span(150)):
             self.build(must_ask=False)
             await self.whole(41, *self.all())
             watch = await self.followed(41)
@@ -113,11 +122,6 @@
             await self.whole(43, *self.all())
             await self.followed(43)
 
-    async def pause(self, seconds: float) -> None:
-        waiting: list[int] = []
-        reactor.callLater(seconds, waiting.append, 1)
-        await self.until(lambda: waiting, "a turn")
-
     async def test_a_second_process_beside_the_first_reads_the_agent_too(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
--- /dev/null
+++ b/tests/test_ending.py
@@ -0,0 +1,200 @@
+"""A node that ends, and what falls into its last moments."""
+
+from __future__ import annotations
+
+import socket
+from unittest.mock import patch
+
+import msgspec
+
+from puffindeck.core.clock import span
+from puffindeck.interface import Effect, Scope
+from puffindeck.net import node as node_module
+from puffindeck.net.leaving import Leaving, Pace
+from puffindeck.net.visitor import Phase
+from tests.crossing import ASK, CrossingStory
+from tests.stories import Listener, reactor
+
+OVER_NOW = Pace(span(0), span(0), span(0), span(0))
+LONG = Pace(span(5000), span(5000), span(0), span(5000))
+
+
+class StopStories(CrossingStory):
+    """A node that ends."""
+
+    def leaving(self, pace: Pace = OVER_NOW) -> Leaving:
+        done: list[int] = []
+        leaving = Leaving(self.node, pace, lambda: done.append(1))
+        self.node.leaving = leaving
+        return leaving
+
+    async def test_who_waits_at_the_port_is_answered_before_it_closes(self) -> None:
+        self.build()
+        self.node.shut = True
+        waiting = [self.raw() for _ in range(40)]  # more than one turn accepts
+        for plain in waiting:
+            plain.sendall(ASK.encode().replace(b"9b1f", b"%04d" % plain.fileno()) + b"\r\n")
+        self.assertFalse(self.node.shut_ports())
+        for plain in waiting:
+            self.assertRegex(await self.reads(plain), rb"^BUSY \d+\r\n$")
+            plain.close()
+        await self.until(lambda: not self.node.clients, "their ends")
+        self.assertTrue(self.node.shut_ports())
+        self.assertFalse(self.node.port.connected)
+
+    async def test_who_waits_at_the_port_when_time_is_up_is_answered_too(self) -> None:
+        self.build()
+        plain = self.raw()
+        plain.sendall(ASK.encode() + b"\r\n")
+        self.node.shut = True
+        self.leaving()._look()
+        self.assertFalse(self.node.port.connected)
+        self.assertRegex(await self.reads(plain), rb"^BUSY \d+\r\n$")
+
+    async def test_a_request_at_a_hung_host_is_refused_at_the_end_where_that_is_harmless(self) -> None:
+        client, host = await self.hung()
+        self.leaving()._look()
+        self.assertRegex(await client.line(), rb"^BUSY \d+$")
+        self.assertEqual(await host.ended(), "ConnectionDone")
+
+    async def test_one_that_may_have_run_and_must_not_run_twice_is_failed_at_the_end(self) -> None:
+        client, host = await self.hung(effect=Effect.UNSAFE)
+        self.leaving()._look()
+        self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual(await host.ended(), "ConnectionDone")
+
+    async def test_one_whose_repeats_only_a_zone_discards_is_failed_at_the_end(self) -> None:
+        client, _ = await self.hung(effect=Effect.KEYED, scope=Scope.ZONE, window_ms=5000.0)
+        self.leaving()._look()
+        self.assertEqual(await client.line(), b"ERR")
+
+    async def test_a_request_is_answered_at_the_end_though_the_module_fails(self) -> None:
+        client, host = await self.hung()
+        with patch.object(self.node.engine.balancer, "handle", side_effect=ZeroDivisionError):
+            self.leaving()._look()
+            self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual(await host.ended(), "ConnectionDone")
+        self.assertGreaterEqual(len(self.flushLoggedErrors(ZeroDivisionError)), 2)  # the word, and its end
+
+    async def test_who_asks_whether_it_is_ready_is_told_no_when_it_ends_before_that(self) -> None:
+        self.build()
+        plain, line = await self.met()
+        plain.sendall(b"PING\r\n")
+        await self.until(lambda: self.node._waiting, "the question")
+        with patch.object(node_module, "RESTART", Pace(span(5000), span(5000), span(0), span(5000))):
+            self.node.stop()
+        self.assertIs(line.phase, Phase.RESTS)
+        plain.shutdown(socket.SHUT_WR)
+        self.assertEqual(await self.reads(plain), b"BUSY\r\n")
+        self.node.leaving.cancel()
+
+    async def test_a_line_that_does_not_end_before_the_end_gets_no_move_into_it(self) -> None:
+        # "half of a liMOVE" is a line that no host has sent
+        self.build()
+        client, _, host = await self.served(ASK)
+        (line,) = self.node.clients
+        host.write(b"half of a li")
+        await self.until(lambda: client.left(b"half of a li"), "the half")
+        self.node.engine.send_away(line.request)
+        self.assertIs(line.phase, Phase.MOVES)
+        self.leaving()._look()
+        self.assertEqual(await client.ended(), "ConnectionDone")
+        self.assertTrue(client.left(b"half of a li"))
+        self.assertEqual(await host.ended(), "ConnectionDone")
+
+    async def test_a_host_that_ends_in_the_middle_of_the_line_before_a_move(self) -> None:
+        self.build()
+        client, _, host = await self.served(ASK)
+        (line,) = self.node.clients
+        host.write(b"half of a li")
+        await self.until(lambda: client.left(b"half of a li"), "the half")
+        self.node.engine.send_away(line.request)
+        host.transport.loseConnection()
+        self.assertEqual(await client.ended(), "ConnectionDone")
+        self.assertTrue(client.left(b"half of a li"))
+
+    async def test_a_line_that_begins_before_a_move_is_not_begun_at_the_client(self) -> None:
+        self.build()
+        client, _, host = await self.served(ASK)
+        (line,) = self.node.clients
+        host.write(b"whole\r\nhal")
+        await self.until(lambda: line._line_open, "the half")
+        line.hold()
+        host.write(b"f\r\nnext")
+        await self.until(lambda: line._tail == b"next", "the next")
+        self.node.engine.send_away(line.request)
+        self.assertEqual([await client.line() for _ in range(3)], [b"whole", b"half", b"MOVE"])
+        self.assertTrue(client.left(b""))
+
+    async def test_a_line_held_back_passes_when_nobody_is_moved_after_all(self) -> None:
+        self.build()
+        client, _, host = await self.served(ASK)
+        (line,) = self.node.clients
+        leaving = self.leaving(Pace(span(0), span(60000), span(0), span(60000)))
+        line.hold()
+        host.write(b"half")
+        await self.until(lambda: line._tail, "the half")
+        leaving.cancel()
+        await self.until(lambda: client.left(b"half"), "the half at the client")
+        host.write(b" a line\r\n")
+        self.assertEqual(await client.line(), b"half a line")
+
+    async def test_moves_are_held_for_in_time(self) -> None:
+        self.build()
+        await self.served(ASK)
+        (line,) = self.node.clients
+        leaving = self.leaving(Pace(span(0), span(600), span(0), span(60000)))
+        leaving._plan_moves()
+        await self.until(lambda: line.phase is Phase.HOLDS, "the hold")
+        leaving.cancel()
+        self.assertIs(line.phase, Phase.PASSES)
+
+    async def test_a_second_stop_changes_nothing(self) -> None:
+        self.build()
+        with patch.object(node_module, "RESTART", LONG):
+            self.node.stop()
+            first = self.node.leaving
+            self.node.stop()
+        self.assertIs(self.node.leaving, first)
+        first.cancel()
+
+    async def test_a_lame_duck_that_is_stopped_ends(self) -> None:
+        self.build()
+        client, _, host = await self.served(ASK)
+        with (patch.object(self.node, "reactor", wraps=reactor) as program,
+              patch.object(program, "stop") as stop,
+              patch.object(node_module, "LAME", LONG),
+              patch.object(node_module, "RESTART", Pace(span(0), span(0), span(20), span(3300)))):
+            self.node.lame()
+            lame = self.node.leaving
+            self.node.stop()
+            self.assertTrue(self.node.leaving.ends)
+            self.assertFalse(self.node.unlame())  # there is no way back
+            self.assertEqual(await client.line(), b"MOVE")
+            await host.ended()
+            await self.until(lambda: stop.called, "its end")
+        self.assertTrue(all(deadline.act is None for deadline in lame._pending))
+
+    async def test_a_reload_while_it_ends_moves_discovery(self) -> None:
+        self.build()
+        await self.watched()
+        other = Listener()
+        self.addCleanup(other.port.stopListening)
+        host, port = other.address.split(":")
+        with patch.object(node_module, "RESTART", LONG):
+            self.node.stop()
+        self.node.reload(lambda now: (msgspec.structs.replace(now, discovery=(host, int(port))), []))
+        call = await other.next()
+        self.assertEqual(await call.line(), b"GET /catalog/members HTTP/1.1")
+        self.node.leaving.cancel()
+        call.transport.abortConnection()
+        await call.ended()
+
+    async def test_a_stop_before_the_start_ends_it(self) -> None:
+        self.build()
+        fresh = node_module.Node(reactor, self.node.told, self.node.deadlines.clock)
+        with (patch.object(fresh, "reactor", wraps=reactor) as program, patch.object(program, "stop") as stop,
+              patch.object(node_module, "RESTART", Pace(span(0), span(0), span(0), span(10)))):
+            fresh.stop()
+            await self.until(lambda: stop.called, "its end")
+        self.assertIsNone(fresh.port)
