Cold servers' budget holds for the sum of many gateways, from the moment they start

Seen: seeded modules with clients round them (tests/test_cold_sum.py), before: 30 gateways sent a cold server up to 3.6 more than N + 2 root N + 2, on 7 to 9 of 30 servers that start with an eighth of their capacity; up to 6.1 more on 23 of 96 after a restart of all servers and gateways at a load of 0.6; with 4 gateways none.

Now: a debt is paid from the start of a server on; where all gateways, were they like this one, would want under half of N nobody is held back but by three connections of its own; else they take turns, and none sends a server another before it has earned the last. A full server is held to bear twice the mean held (2.5 times before): by that the sum holds at usual loads. A light request counts as one. What staff put back at all gateways at once is tried by turns.

--- a/puffindeck/choice/attempts.py
+++ b/puffindeck/choice/attempts.py
@@ -24,6 +24,7 @@
         request.mid_flow, request.returning, request.came_ms = event.mid_flow, event.returning, self.now
         self.requests[request.id] = request
         self._saw(request)
+        self.arrives()
         self._at(request.deadline, self._overdue, request)
         self._place(request)
 
@@ -73,8 +74,8 @@
             else:  # so that another try fits
                 timeout = min(left, max(request.rules.aim_ms, left / 2))
         if server.started > 0 and self._warmth(server) < 1.0:
-            push = max(0.25, request.load / self.mean_load)
-            server.push += push
+            push = max(1.0, request.load / self.mean_load)  # a light one is one more all the same
+            server.credit -= push
             self.credit -= push
         # a connect may take its time, and the first byte must not go out after it
         until = self.repeats_until(request) if request.ran is not None else INF
--- a/puffindeck/choice/balancer.py
+++ b/puffindeck/choice/balancer.py
@@ -92,8 +92,6 @@
         """A new process: what the old one did is no guide."""
         self._trust(server)
         server.ceiling = INF
-        if self.credit > 0:
-            self.credit = -self.random.random()
 
     def _detached(self, event: Detached) -> None:
         if event.server not in self.detached:
@@ -116,7 +114,7 @@
         """Cold since the start that the list tells of, or since now: it may tell of it only seconds later."""
         if event.server in self.detached:
             server, out_ms = self._server(event.server), self.detached.pop(event.server)
-            self.returned[server.id] = self.now
+            self.back(server)
             if server.started < out_ms:
                 server.back_ms = server.started = self.now
                 self._renewed(server)
--- a/puffindeck/choice/cold.py
+++ b/puffindeck/choice/cold.py
@@ -4,14 +4,19 @@
 
 from puffindeck.choice.known import Known
 from puffindeck.interface import State
-from puffindeck.records import Request, Server
+from puffindeck.records import INF, Request, Server
 
-FULL = 2.5  # of the mean a server holds: what one bears at least when full; six times broke no rule
+FULL = 2.0  # of the mean a server holds: what one bears at least when full
+BACK_MS = 5000.0  # how long one that is put back, and has no connection, goes before the ring
+TURN_MS, FEW = 250.0, 4  # many gateways that are told of it at once see by turns whether it serves
+CALM = 2.0  # of what all gateways want of a cold server: below its budget they need not be held back
 
 
 class Cold(Known):
     """How much of its capacity a server has by now, and how much a cold one may be given."""
 
+    spare = 3.0  # connections beyond its part that a gateway may send a cold server where little is wanted
+
     def _warmth(self, server: Server) -> float:
         """The least part of its capacity that a server has by now."""
         settings, age = self.settings, self.now - server.started
@@ -41,18 +46,54 @@
         zones[None] = sum(zones.values())
         self.zone_sizes = zones
 
+    def arrives(self) -> None:
+        """Requests of late, fading over the time in which a cold server may fall.
+
+        Over more of it where there are more gateways than servers: one request alone is no storm.
+        """
+        crowd = self.settings.gateways / max(1, len(self.ready))
+        fade = max(1.0, self.settings.fall_ms) * math.sqrt(max(1.0, crowd))
+        self.flow = 1.0 + self.flow * math.exp((self.flow_ms - self.now) / fade)
+        self.flow_ms, self.flow_fade = self.now, fade
+
     def cold_credit(self, request: Request, server: Server) -> bool:
         """May a cold server be sent one more?
 
-        Rule 4. All gateways keep to 1/gateways of the budget; a full server is guessed to hold FULL times as
-        much as ours now, and to fill over its whole warm-up. With many gateways that part is far under one
-        connection: it is saved up for all cold servers from a random debt, so that gateways take turns.
+        Rule 4. A full server is guessed to hold FULL times as much as ours now, and to fill over its whole
+        warm-up; what a multiple of that brings in the time in which it may fall is N. Where all gateways want
+        well under N they need not be held back. Else each keeps to its part of N: it is saved up for all cold
+        servers from a random debt, so that gateways take turns also where their part is far under one
+        connection, and spread over them, as none is sent another before it has earned its last one.
         """
-        settings, passed = self.settings, self.now - self.credit_ms
+        settings = self.settings
         share = FULL * self.mean_held * settings.fall_multiple / settings.cold_ms
-        rate, top = share * self.cold_size, settings.fall_ms / 2
-        self.credit = min(max(1.0, rate * top), self.credit + rate * passed)
+        rate, own = share * self.cold_size, share * server.size
+        fresh = self.credit_ms <= 0.0 or self.credit_ms < server.started  # a debt is paid from now on
+        if fresh and self.credit > 0:
+            self.credit = -self.random.random()
+        saved = 0.0 if fresh else rate * (self.now - self.credit_ms)
+        self.credit = min(max(1.0, rate * settings.fall_ms / 4), self.credit + saved)
         self.credit_ms = self.now
-        server.push *= math.exp((server.push_ms - self.now) / top)
-        server.push_ms = self.now
-        return self.credit > 0 and server.push < max(1.0, share * server.size * top)
+        server.credit = min(max(0.0, own * settings.fall_ms / 4),
+                            server.credit + own * max(0.0, self.now - server.credit_ms))
+        server.credit_ms = self.now
+        if self.now - self.returned.get(server.id, -INF) < BACK_MS:
+            return self.now >= server.turn_ms and server.credit >= 0  # one shows whether it serves
+        if CALM * self._wanted(server) <= own * settings.fall_ms * settings.gateways:
+            return server.credit > -self.spare
+        return self.credit > 0 and server.credit >= 0
+
+    def back(self, server: Server) -> None:
+        """Staff have put it back: when it is this gateway's turn to see whether it serves, at the latest."""
+        self.returned[server.id] = self.now
+        server.turn_ms = self.now + TURN_MS * max(0, self.settings.gateways - FEW) * self.random.random()
+
+    def _wanted(self, server: Server) -> float:
+        """What all gateways together may want of a server in such a time, were all like this one.
+
+        A busy group is no more than others: a plan that all make alike spreads it by the servers' sizes.
+        """
+        flow = self.flow * math.exp((self.flow_ms - self.now) / self.flow_fade)
+        flow += len(self.requests) - self.placed  # those that wait
+        part = server.size / max(1e-9, self.zone_sizes[None])
+        return self.settings.gateways * part * flow * self.settings.fall_ms / self.flow_fade
--- a/puffindeck/choice/known.py
+++ b/puffindeck/choice/known.py
@@ -32,6 +32,8 @@
         self.cold_size, self.all_warm = 0.0, False
         self.mean_held, self.mean_held_ms = 0.0, 0.0  # a server's connections from here, now or of late
         self.credit, self.credit_ms = -self.random.random(), 0.0  # connections that may go to cold servers
+        self.flow, self.flow_ms, self.flow_fade = 0.0, 0.0, 1.0  # requests of late, fading
+        self.placed = 0  # requests that have a connection, or an attempt on its way to one
         # the few servers that most work is about: in use or under a ceiling, failing, tried of late
         self.live: dict[int, Server] = {}
         self.failing: dict[int, Server] = {}
--- a/puffindeck/choice/ledger.py
+++ b/puffindeck/choice/ledger.py
@@ -22,6 +22,7 @@
     def _count(self, request: Request, server: Server) -> None:
         request.server = server
         server.conns[request.id] = request
+        self.placed += 1
         self.live[server.id] = server
         server.load += request.load
         if request.group:
@@ -34,6 +35,7 @@
         server = request.server
         if server is None or server.conns.pop(request.id, None) is None:
             return
+        self.placed -= 1
         request.server = None
         server.load -= request.load
         if not request.begun:
--- a/puffindeck/choice/walk.py
+++ b/puffindeck/choice/walk.py
@@ -1,5 +1,6 @@
 """Placing: the first server clockwise that is under its bound, and how the bound gives way."""
 
+from puffindeck.choice.cold import BACK_MS
 from puffindeck.choice.judging import Judging
 from puffindeck.choice.ledger import GROUP_COST
 from puffindeck.hashes import lot
@@ -8,7 +9,6 @@
 STRETCHES = (1.0, 1.5, 2.5)  # how far the bound gives way, in turn, before the start of the walk is kept
 WALK = 8  # servers that a walk looks at for a key without a group
 FLOOR = 2.0  # mean connections a server may always hold: near-empty counts must not scatter the keys
-BACK_MS = 5000.0  # how long one that is put back, and has no connection, goes before the ring
 
 
 class Walk(Judging):
--- a/puffindeck/crowd/member.py
+++ b/puffindeck/crowd/member.py
@@ -121,9 +121,9 @@
         """Only a cold server's own keys go there, and of those the part that it may be sent by now."""
         if server is not self.home(request):
             return False
-        server.push *= math.exp((server.push_ms - self.now) / max(1.0, self.settings.fall_ms))
-        server.push_ms = self.now
-        if server.push >= 1.0:  # what one client sends in a window is bounded, whatever the lots say
+        server.credit *= math.exp((server.credit_ms - self.now) / max(1.0, self.settings.fall_ms))
+        server.credit_ms = self.now
+        if server.credit <= -1.0:  # what one client sends in a window is bounded, whatever the lots say
             return False
         standing = sum(len(s.conns) - s.pending for s in self.live.values())
         return self.admission.admits(
--- a/puffindeck/records.py
+++ b/puffindeck/records.py
@@ -22,8 +22,8 @@
     ceiling, cut_ms = INF, -INF  # the most load it has been seen to bear; when last cut
     delay, delay_ms, failed_ms, good_ms = 0.0, -INF, -INF, -INF
     newest_ms = -INF  # when the newest of the attempts that came up was sent
-    back_ms = -INF  # when it was last put back
-    push = push_ms = 0.0  # what it was sent while cold, fading over the time in which it may fall
+    back_ms = turn_ms = -INF  # when it was last put back, and when this gateway may see whether it serves
+    credit, credit_ms = 0.0, -INF  # connections that it may be sent while cold, and when that was reckoned
 
     def __init__(self, server: int) -> None:
         self.id = server
--- a/puffindeck/routing/tier.py
+++ b/puffindeck/routing/tier.py
@@ -87,11 +87,6 @@
         else:
             super()._place(request)
 
-    def _renewed(self, server: Server) -> None:
-        """A debt is saved up for from now on: many gateways that paid theirs at once would push a tier."""
-        super()._renewed(server)
-        self.credit_ms = self.now
-
     def _trust(self, server: Server) -> None:
         """A server that was out of reach and is back was most likely restarted, and the list may be late."""
         if server.connect_fails >= 2 and self._warmth(server) >= 1.0:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -4,8 +4,9 @@
 
 from dataclasses import replace
 
-from puffindeck.interface import ListKind, Outcome, State
-from tests.world import SETTINGS, Gateway, entry, listed
+from puffindeck.choice.cold import FULL
+from puffindeck.interface import ListKind, Outcome, Send, State
+from tests.world import SETTINGS, Gateway, asked, entry, listed
 
 COLD = replace(SETTINGS, gateways=2, cold_ms=24000.0, cold_from=0.13, fall_multiple=4, fall_ms=1000.0)
 
@@ -54,6 +55,22 @@
     assert placed(gateway, 46, rounds=12) >= 30
 
 
+def test_those_that_wait_are_wanted_however_long_ago_they_came() -> None:
+    """A crowd that waits for cold servers must not pass for a calm once nobody new has come for long."""
+    slow = replace(COLD.classes[0], aim_ms=60000.0, deadline_ms=60000.0)
+    gateway = Gateway(replace(COLD, gateways=20, classes=(slow,)), servers=5)
+    for request in range(1, 21):
+        gateway.connect(request, key=request)
+    gateway.do(listed(*(replace(entry(i), started_ms=gateway.now) for i in range(1, 6)), version=2))
+    for request in range(100, 140):
+        gateway.do(asked(request, key=request, left=60000))
+    held = 60 / 5  # those that wait need a place too
+    for second in range(10):
+        warmth = COLD.cold_from + (1 - COLD.cold_from) * (second + 1) * 1000 / COLD.cold_ms
+        part = 5 * FULL * held * COLD.fall_multiple * warmth * 1000 / COLD.cold_ms
+        assert sum(isinstance(action, Send) for action in gateway.wait(1000)) <= part + 2, second
+
+
 def test_what_stood_long_ago_counts_for_little() -> None:
     gateway = Gateway(COLD, servers=5)
     released(gateway, 46)
