--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -62,9 +62,9 @@
     async def exactly(self, plain: socket.socket, count: int) -> bytes:
         return bytes(await deferToThread(plain.recv, count, socket.MSG_WAITALL))
 
-    async def hung(self, **rules: Any) -> tuple[Peer, Peer]:
+    async def hung(self, told: dict[str, Any] | None = None, **rules: Any) -> tuple[Peer, Peer]:
         """A client whose request is with a host that says nothing."""
-        self.build(classes=(replace(CHAT, **rules),))
+        self.build(classes=(replace(CHAT, **rules),), **(told or {}))
         client = await self.client(ASK)
         _, host = await self.host_of()
         await host.line()
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -39,7 +39,7 @@
     transport: Any
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = self.received = b""  # what came after the last whole line, and all that came
         self.end: Any = None
         self._lines: DeferredQueue[bytes] = DeferredQueue()
         self._ended: list[Deferred[Any]] = []
@@ -49,6 +49,7 @@
         self.made(self)
 
     def dataReceived(self, data: bytes) -> None:
+        self.received += data
         *lines, self.buffer = (self.buffer + data).split(b"\r\n")
         for line in lines:
             self._lines.put(line)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -47,10 +47,24 @@
             _, host = await self.host_of()
             await host.ended()
         await self.until(lambda: line.phase is Phase.GONE, "its end")
-        self.assertTrue(host.left(b""))
+        self.assertEqual(host.received, b"")
         self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.CANCELLED])
         self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
 
+    async def test_a_connection_that_comes_up_when_its_request_was_given_up_is_ended_unused(self) -> None:
+        self.build()
+
+        def given_up() -> None:
+            for link in self.node.links:
+                self.node.engine.client_left(link.ticket.request)
+
+        with self.at_connect(given_up):
+            await self.client(ASK)
+            _, host = await self.host_of()
+            await host.ended()
+        self.assertEqual(host.received, b"")
+        self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.CANCELLED])
+
     async def test_no_further_attempt_for_a_client_that_left_when_the_first_one_failed(self) -> None:
         self.build()
         plain, line = await self.met()
@@ -75,7 +89,7 @@
             client.write(ASK.encode() + b"\r\n")
             _, host = await self.host_of()
             await host.ended()
-            self.assertTrue(host.left(b""))
+            self.assertEqual(host.received, b"")
             self.assertEqual(self.ends(Ended)[0].outcome, Outcome.CONNECT_FAILED)
 
     async def test_a_repeat_begins_within_the_window_or_not_at_all(self) -> None:
@@ -131,7 +145,7 @@
             await self.client(ASK)
             _, host = await self.host_of()
             await host.ended()
-        self.assertTrue(host.left(b""))
+        self.assertEqual(host.received, b"")
 
     async def test_an_answer_cut_in_the_middle_is_a_failed_attempt(self) -> None:
         client, host = await self.hung(effect=Effect.UNSAFE)
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from puffindeck.config import Node as Told
 from puffindeck.core.clock import span
 from puffindeck.interface import Effect, Scope
 from puffindeck.net import node as node_module
@@ -57,6 +58,14 @@
         self.assertRegex(await client.line(), rb"^BUSY \d+$")
         self.assertEqual(await host.ended(), "ConnectionDone")
 
+    async def test_its_attempt_is_given_up_too_where_the_settings_know_no_cancelling(self) -> None:
+        client, host = await self.hung(told={"can_cancel": False})
+        (link,) = self.node.links
+        self.leaving()._look()
+        self.assertTrue(link.done)  # at once, not with its deadline
+        self.assertRegex(await client.line(), rb"^BUSY \d+$")
+        self.assertEqual(await host.ended(), "ConnectionDone")
+
     async def test_one_that_may_have_run_and_must_not_run_twice_is_failed_at_the_end(self) -> None:
         client, host = await self.hung(effect=Effect.UNSAFE)
         self.leaving()._look()
@@ -190,6 +199,36 @@
         call.transport.abortConnection()
         await call.ended()
 
+    async def test_a_stop_while_it_hands_over_to_a_newer_process_changes_nothing(self) -> None:
+        self.build()
+        self.node._leave(LONG)  # as when a newer process is ready
+        first = self.node.leaving
+        self.node.stop()
+        self.assertIs(self.node.leaving, first)
+        first.cancel()
+
+    async def test_a_stop_in_the_middle_of_a_reload_ends_it_and_the_reload_holds(self) -> None:
+        self.build()
+        await self.watched()
+        client, _, host = await self.served(ASK)
+        other = Listener()
+        self.addCleanup(other.port.stopListening)
+        name, port = other.address.split(":")
+
+        def read(now: Told) -> tuple[Told, list[str]]:
+            self.node.stop()
+            return msgspec.structs.replace(now, discovery=(name, int(port))), []
+
+        with (patch.object(self.node, "reactor", wraps=reactor) as program,
+              patch.object(program, "stop") as stop,
+              patch.object(node_module, "RESTART", Pace(span(0), span(20), span(20), span(3300)))):
+            self.node.reload(read)
+            call = await other.next()
+            self.assertEqual(await client.line(), b"MOVE")
+            await host.ended()
+            await self.until(lambda: stop.called, "its end")
+        await call.ended()  # nothing is asked any more
+
     async def test_a_stop_before_the_start_ends_it(self) -> None:
         self.build()
         fresh = node_module.Node(reactor, self.node.told, self.node.deadlines.clock)
