--- a/tests/test_rpc_roster.py
+++ b/tests/test_rpc_roster.py
@@ -186,8 +186,8 @@
                 self.assertIsInstance(task.exception(), AioRpcError)
                 streams[i] = Stub(channels[i]).watch(b"", metadata=keyed(f"desk {i}"))
                 await streams[i].read()
-        # N is what 3 times its present capacity takes in a second, of the 50 that fill it over 9 s; clients draw
-        # lots by the clock's windows, and what chance excuses is the rule's own 2 x root N + 2
+        # N is what 3 times its present capacity takes in a second, of the 50 that fill it over 9 s. Clients
+        # draw lots anew in each window of the clock; chance excuses the rule's own 2 x root N + 2
         n = 3 * 0.31 * 50 / 9
         self.assertLessEqual(len(old.calls), n + 2 * math.sqrt(n) + 2)
         self.assertEqual(sum(len(box.open) for box in boxes.values()), 200)
