The log has each request's attempts, answer and close with their reasons, and a stepped clock

Need: in the incident the log could not say whether any timer ran after the wall clock's step, what became of a request, or who ended a connection and why. Change: the engine reports each request's steps to an observer, which the node writes by the client's own id (a bounded number of lines of a kind in 5 s); lines for a timer that runs over 250 ms late and for a step of the wall clock. No decision is changed. Measured: tests/test_request_log.py, and the stories of node, lifecycle and attempts pass.

--- a/puffindeck/core/deadlines.py
+++ b/puffindeck/core/deadlines.py
@@ -9,10 +9,12 @@
 
 from twisted.logger import Logger
 
-from puffindeck.core.clock import ZERO, Clock
+from puffindeck.core.clock import ZERO, Clock, ms, span
 
 log = Logger("puffindeck")
 
+LATE = span(250)  # the timer that runs later than this is logged
+
 
 class Timer(Protocol):
     """The one timer, as the reactor hands it out."""
@@ -86,10 +88,17 @@
         wait = max(0.0, (first - self.clock.now()).total_seconds())
         self._timer = self._timers.callLater(wait, self.run)
 
+    def _log_late(self, now: timedelta) -> None:
+        late = now - self._timer_at
+        if late > LATE:
+            log.warn("timers: {late_ms} ms late: nothing that waits for time was done meanwhile",
+                     late_ms=round(ms(late)))
+
     def run(self) -> None:
         """Do all that is due. What one of them raises must not keep the others from their time."""
         self._timer = None
         now = self.clock.now()
+        self._log_late(now)
         while self._heap and self._heap[0][0] <= now:
             deadline = heappop(self._heap)[2]
             act, deadline.act = deadline.act, None
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -17,6 +17,7 @@
 
 from puffindeck.core.clock import ZERO, ms, span
 from puffindeck.core.deadlines import Deadline, Deadlines
+from puffindeck.core.request_observer import Answer, Reason, RequestObserver, Unobserved
 from puffindeck.core.slots import Slots
 from puffindeck.interface import (
     Action,
@@ -116,16 +117,17 @@
     group: int = 0
     returning: bool = False
     facts: Facts | None = None  # what routes may go by
+    id: str = ""  # the client's own, where its wire has one: the log names the request by it
 
 
 class Held:
     """A request in its slot, until it is answered and its last attempt has ended."""
 
-    __slots__ = ("answered", "attempts", "begun", "client", "cls", "deadline", "expiry", "guard", "link",
-                 "most", "number", "out", "sent", "server")
+    __slots__ = ("answered", "attempts", "begun", "client", "cls", "deadline", "expiry", "guard", "id",
+                 "link", "most", "number", "out", "sent", "server")
 
-    def __init__(self, client: Client, cls: int, deadline: timedelta, most: int) -> None:
-        self.client, self.cls, self.deadline, self.most = client, cls, deadline, most
+    def __init__(self, client: Client, cls: int, deadline: timedelta, most: int, id: str) -> None:
+        self.client, self.cls, self.deadline, self.most, self.id = client, cls, deadline, most, id
         self.number = self.attempts = self.server = 0
         self.answered = self.out = self.begun = False
         self.sent = ZERO
@@ -138,9 +140,11 @@
     """One gateway: its decision module and the requests it has taken."""
 
     def __init__(
-        self, balancer: Decisions, settings: Settings, deadlines: Deadlines, follow: Callable[[], None]
+        self, balancer: Decisions, settings: Settings, deadlines: Deadlines, follow: Callable[[], None],
+        observer: RequestObserver | None = None,
     ) -> None:
         self.balancer: Any = balancer
+        self.observer: RequestObserver = observer or Unobserved()
         self.settings, self.deadlines, self.follow = settings, deadlines, follow
         self.clock = deadlines.clock
         self.held: Slots[Held] = Slots()
@@ -247,17 +251,23 @@
     def request(self, client: Client, asked: Request) -> int:
         """Take a request; its number. The client is answered once, before its time is up."""
         deadline = self.clock.now() + asked.left
-        held = Held(client, asked.cls, deadline, self.settings.max_attempts)
-        held.number = number = self.held.add(held)
+        held = Held(client, asked.cls, deadline, self.settings.max_attempts, asked.id)
+        held.number = number = self._hold(held)
         held.guard = self.deadlines.at(deadline + LATE, self._overdue, number)
         self.tell(Requested(number, asked.cls, 0, asked.key, ms(asked.left), asked.hint, asked.group,
                             returning=asked.returning, facts=asked.facts))
         return number
 
+    def _hold(self, held: Held) -> int:
+        """Put it into a slot; its number."""
+        number = self.held.add(held)
+        held.id = held.id or str(number)
+        return number
+
     def opened(self, client: Client, asked: Request, server: int) -> Ticket:
         """Take a connection that was open before the start. Its link is the front's to set up."""
-        held = Held(client, asked.cls, self.clock.now(), 1)
-        held.number = number = self.held.add(held)
+        held = Held(client, asked.cls, self.clock.now(), 1, asked.id)
+        held.number = number = self._hold(held)
         held.attempts, held.out, held.begun, held.answered, held.server = 1, True, True, True, server
         self.tell(Opened(number, server, asked.cls, 0, asked.hint, asked.group, asked.key))
         return Ticket(number, 0)
@@ -275,6 +285,7 @@
             return
         if not held.begun:
             held.answered = True
+            self.observer.closed(held.id, Reason.CLIENT_LEFT)
             self.tell(ClientLeft(number))
         if held.out:
             self._cut(held, Outcome.CANCELLED)
@@ -286,7 +297,7 @@
         if held is None or held.begun:
             return
         self.tell(Dismissed(number))
-        self._overdue(number)  # whatever the module has done, it is answered
+        self._overdue(number, Reason.STOPPING)  # whatever the module has done, it is answered
         if self.held.get(number) is held and held.out:
             self._cut(held, Outcome.CANCELLED)
 
@@ -305,6 +316,7 @@
         self.deadlines.cancel(held.expiry)
         self.deadlines.cancel(held.guard)
         held.client.began(held.link)
+        self.observer.answered(held.id, Answer.UP, Reason.SERVED)
         took = ms(self.clock.now() - held.sent)
         self.tell(Began(ticket.request, held.server, took, ticket.attempt))
         return True
@@ -318,9 +330,11 @@
         self.deadlines.cancel(held.expiry)
         if outcome == Outcome.OK:
             held.answered = True
-        took = ms(self.clock.now() - held.sent)
+        took = self.clock.now() - held.sent
+        if not held.begun:
+            self.observer.attempt_ended(held.id, held.server, ticket.attempt, outcome, took)
         self._settle(held)
-        self.tell(Ended(ticket.request, outcome, held.server, ticket.attempt, held.answered, took))
+        self.tell(Ended(ticket.request, outcome, held.server, ticket.attempt, held.answered, ms(took)))
 
     def noted(self, ticket: Ticket, figure: float) -> None:
         """What a server tells of an open connection: the settings say whether load or a message's delay."""
@@ -354,6 +368,7 @@
         if until <= now:
             self.ended(ticket, Outcome.TIMEOUT)
             return
+        self.observer.attempt_began(held.id, action.server, ticket.attempt)
         held.expiry = self.deadlines.at(until, self._expired, ticket)
         link = held.client.open(ticket, action.server, until, begin)
         if self._current(ticket) is held:
@@ -395,20 +410,23 @@
     def _refuse(self, action: Refuse) -> None:
         held = self._unanswered(action.request)
         if held is not None:
+            self.observer.answered(held.id, Answer.REFUSED, Reason.DECISION)
             held.client.refuse(span(action.wait_ms))
             self._settle(held)
 
     def _fail(self, action: Fail) -> None:
         held = self._unanswered(action.request)
         if held is not None:
+            self.observer.answered(held.id, Answer.FAILED, Reason.DECISION)
             held.client.fail()
             self._settle(held)
 
-    def _overdue(self, number: int) -> None:
+    def _overdue(self, number: int, why: Reason = Reason.OVERDUE) -> None:
         """Rule 1 does not hang on the module alone."""
         held = self._unanswered(number)
         if held is not None:
-            log.warn("request {number} was not answered in time: failed", number=number)
+            log.warn("request {id} was not answered in time: failed", id=held.id)
+            self.observer.answered(held.id, Answer.FAILED, why)
             held.client.fail()
             if held.out:
                 self._cut(held, Outcome.TIMEOUT)
@@ -422,8 +440,12 @@
             self._cut(held, Outcome.CANCELLED)
 
     def _move(self, action: Move) -> None:
-        held = self.held.get(action.request)
+        self._move_away(action.request, Reason.MOVED)
+
+    def _move_away(self, number: int, why: Reason) -> None:
+        held = self.held.get(number)
         if held is not None and held.begun and held.out and held.client.move():
+            self.observer.closed(held.id, why)
             self.ended(Ticket(held.number, held.attempts - 1), Outcome.CANCELLED)
 
     def _wake(self, action: Wake) -> None:
@@ -440,4 +462,4 @@
 
     def send_away(self, number: int) -> None:
         """Move a client because this gateway stops."""
-        self._move(Move(number))
+        self._move_away(number, Reason.STOPPING)
--- /dev/null
+++ b/puffindeck/core/request_observer.py
@@ -0,0 +1,69 @@
+"""What the engine reports of each request's life, for logs. Whoever observes decides nothing."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from enum import StrEnum
+from typing import Protocol
+
+from puffindeck.interface import Outcome
+
+
+class Answer(StrEnum):
+    """A final answer to a request."""
+
+    UP = "up"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Reason(StrEnum):
+    """Why a request was given its answer, or its connection was ended."""
+
+    SERVED = "the server took it"
+    DECISION = "decided"
+    OVERDUE = "no answer by its deadline"
+    STOPPING = "this node stops"
+    NO_ROOM = "no descriptors left"
+    CLIENT_LEFT = "the client left"
+    CLIENT_BROKE = "the client's connection broke"
+    SERVER_ENDED = "the server ended it"
+    SERVER_BROKE = "the server's connection broke"
+    SERVER_SILENT = "the server is silent"
+    MOVED = "moved"
+
+
+class RequestObserver(Protocol):
+    """Told of each step. `request` is the client's own id where its wire has one, else a number."""
+
+    def attempt_began(self, request: str, server: int, attempt: int) -> None:
+        """An attempt is on its way to a server; the first of a request is number 0."""
+
+    def attempt_ended(
+        self, request: str, server: int, attempt: int, outcome: Outcome, took: timedelta
+    ) -> None:
+        """An attempt ended without a connection that stands."""
+
+    def answered(self, request: str, answer: Answer, why: Reason) -> None:
+        """The request has its final answer."""
+
+    def closed(self, request: str, why: Reason) -> None:
+        """A connection that stood has ended, or a client left before its answer."""
+
+
+class Unobserved:
+    """An observer that keeps nothing."""
+
+    def attempt_began(self, request: str, server: int, attempt: int) -> None:
+        """Nobody looks."""
+
+    def attempt_ended(
+        self, request: str, server: int, attempt: int, outcome: Outcome, took: timedelta
+    ) -> None:
+        """Nobody looks."""
+
+    def answered(self, request: str, answer: Answer, why: Reason) -> None:
+        """Nobody looks."""
+
+    def closed(self, request: str, why: Reason) -> None:
+        """Nobody looks."""
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -8,6 +8,7 @@
 
 from puffindeck.core.clock import ZERO
 from puffindeck.core.engine import Request
+from puffindeck.core.request_observer import Answer, Reason
 from puffindeck.interface import Facts, Outcome
 from puffindeck.net.closing import flush, take_in
 from puffindeck.net.heads import CRLF, Head, HeadError
@@ -72,10 +73,12 @@
         left = head.left or ZERO
         told = self.node.told
         facts = self._facts() if told.routing is not None or told.installation is not None else None
-        asked = Request(cls, head.key, left, head.hint, head.group, head.returning, facts)
+        asked = Request(cls, head.key, left, head.hint, head.group, head.returning, facts, head.id.decode())
         if head.at:
             self._set_up_again(asked, head.at)
         elif self.node.shut or self.node.crowded():
+            why = Reason.STOPPING if self.node.shut else Reason.NO_ROOM
+            self.node.request_log.answered(asked.id, Answer.REFUSED, why)
             self.refuse(self.node.come_back())
         else:
             self.request = self.engine.request(self, asked)
@@ -112,6 +115,9 @@
             return
         self._drop_id()
         link = self.link
+        if before in SERVED:
+            clean = reason.check("twisted.internet.error.ConnectionDone") is not None
+            self.log_close(Reason.CLIENT_LEFT if clean else Reason.CLIENT_BROKE)
         if link is not None:
             if reason.check("twisted.internet.error.ConnectionDone"):
                 link.give_up()
--- a/puffindeck/net/logs.py
+++ b/puffindeck/net/logs.py
@@ -49,18 +49,26 @@
 class Few:
     """Lines that strangers bring about at their own speed: some are written in a period, the rest counted."""
 
-    def __init__(self, log: Logger, deadlines: Deadlines, what: str) -> None:
+    def __init__(
+        self, log: Logger, deadlines: Deadlines, what: str, lines: int = LINES,
+        level: str = "warn",
+    ) -> None:
         self._log, self._deadlines, self._what = log, deadlines, what
+        self._lines, self._level = lines, level
         self._count = 0
 
-    def warn(self, text: str, **values: Any) -> None:
+    def _emit(self, text: str, **values: Any) -> None:
+        getattr(self._log, self._level)(text, **values)
+
+    def write(self, text: str, **values: Any) -> None:
+        """Write the line, or only count it where there have been too many."""
         if not self._count:
             self._deadlines.after(PERIOD, self._report)
         self._count += 1
-        if self._count <= LINES:
-            self._log.warn(text, **values)
+        if self._count <= self._lines:
+            self._emit(text, **values)
 
     def _report(self) -> None:
-        more, self._count = self._count - LINES, 0
+        more, self._count = self._count - self._lines, 0
         if more > 0:
-            self._log.warn("{what}: {more} more like these", what=self._what, more=more)
+            self._emit("{what}: {more} more like these", what=self._what, more=more)
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -206,6 +206,7 @@
 
     def _sweep(self) -> None:
         """Find the connections whose host no longer answers: the client is sent to another."""
+        self.wall_clock.look()
         now = self.deadlines.clock.now()
         for client in list(self.clients):
             link = client.link
--- a/puffindeck/net/parts.py
+++ b/puffindeck/net/parts.py
@@ -17,7 +17,9 @@
 from puffindeck.net.logs import Few
 from puffindeck.net.operator import CALLERS
 from puffindeck.net.records import Records
+from puffindeck.net.request_log import RequestLog
 from puffindeck.net.upgrade import Generation
+from puffindeck.net.wall_clock import WallClock
 from puffindeck.roster.directory import Directory
 
 log = Logger("puffindeck")
@@ -52,7 +54,8 @@
         self.governor: Any = None  # puffindeck_fleet.Governor, where there are quotas or rules
         self.failed: str = ""  # why this process has to end with an error
         balancer = self._governed(balancer_of(told, self.directory))
-        self.engine = Engine(balancer, settings, self.deadlines, self._follow)
+        self.request_log = RequestLog(log, self.deadlines, self.directory.name)
+        self.engine = Engine(balancer, settings, self.deadlines, self._follow, self.request_log)
         if self.fleet is not None:
             self.fleet.join(self.engine, self.governor)
         self.watch = self._watch(told.known.rev) if told.discovery else None
@@ -65,6 +68,7 @@
         self.ready = self.shut = self.ended = False
         self.leaving: Any = None  # Leaving
         self._waiting: dict[Callable[[bool], None], None] = {}  # in the order in which they asked
+        self.wall_clock = WallClock()
         self.records, self.detached = Records(told.folder / "detached"), set[str]()
         self.generation = Generation(told.folder / "processes")
         self.port: Any = None
--- a/puffindeck/net/passing.py
+++ b/puffindeck/net/passing.py
@@ -6,6 +6,7 @@
 
 from puffindeck.core.clock import span
 from puffindeck.core.engine import Link as CoreLink
+from puffindeck.core.request_observer import Reason
 from puffindeck.interface import Outcome
 from puffindeck.net.closing import break_off, flush
 from puffindeck.net.heads import CRLF, MAX_LINE
@@ -83,6 +84,8 @@
     def host_ended(self, clean: bool) -> None:
         """End the client's side as the host ended its own."""
         self.let_pass()
+        if self.phase in SERVED:
+            self.log_close(Reason.SERVER_ENDED if clean else Reason.SERVER_BROKE)
         if self.phase is Phase.MOVES:
             self._say_move()
         elif clean:
@@ -122,6 +125,7 @@
         if link is None or link.done or self.phase in OVER:
             return
         log.warn("host {host}: silent, its client is moved", host=link.host)
+        self.log_close(Reason.SERVER_SILENT)
         if self._line_open:
             self._finish()
             link.give_up()
--- /dev/null
+++ b/puffindeck/net/request_log.py
@@ -0,0 +1,52 @@
+"""Log lines on each request's life, by its client's own id: attempts, answers and closes, with reasons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from twisted.logger import Logger
+
+from puffindeck.core.clock import ms
+from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.request_observer import Answer, Reason
+from puffindeck.interface import Outcome
+from puffindeck.net.logs import Few
+
+LINES = 100  # of one kind in a period of `Few`; more are counted, so that a storm costs no time
+
+
+class RequestLog:
+    """Writes what the engine reports, a bounded number of lines of each kind."""
+
+    def __init__(self, log: Logger, deadlines: Deadlines, server_name: Callable[[int], str]) -> None:
+        self._server_name = server_name
+
+        def few(what: str) -> Few:
+            return Few(log, deadlines, what, LINES, "info")
+
+        self._attempts = few("requests: attempts")
+        self._ends = few("requests: ends of attempts")
+        self._answers = few("requests: answers")
+        self._closes = few("requests: closes")
+
+    def attempt_began(self, request: str, server: int, attempt: int) -> None:
+        """An attempt is on its way; a number above 0 is a retry."""
+        self._attempts.write("request {id}: attempt {attempt} at {host}", id=request, attempt=attempt,
+                             host=self._server_name(server))
+
+    def attempt_ended(
+        self, request: str, server: int, attempt: int, outcome: Outcome, took: timedelta
+    ) -> None:
+        """An attempt ended without a connection that stands."""
+        self._ends.write("request {id}: attempt {attempt} at {host} ended: {outcome} after {took_ms} ms",
+                         id=request, attempt=attempt, host=self._server_name(server),
+                         outcome=outcome.name.lower(), took_ms=round(ms(took)))
+
+    def answered(self, request: str, answer: Answer, why: Reason) -> None:
+        """The request has its final answer."""
+        self._answers.write("request {id}: {answer}: {why}", id=request, answer=answer.value, why=why.value)
+
+    def closed(self, request: str, why: Reason) -> None:
+        """Its connection has ended, or its client left without an answer."""
+        self._closes.write("request {id}: closed: {why}", id=request, why=why.value)
--- a/puffindeck/net/staffing.py
+++ b/puffindeck/net/staffing.py
@@ -43,7 +43,7 @@
         try:
             self._take_up()
         except OSError as error:  # what is known holds
-            self.few_records.warn("staff: records can't be read: {error}", error=error)
+            self.few_records.write("staff: records can't be read: {error}", error=error)
 
     def _take_up(self) -> None:
         marked = self.records.read()
--- a/puffindeck/net/succession.py
+++ b/puffindeck/net/succession.py
@@ -61,6 +61,6 @@
                 self.generation.tell(self.ready and self.leaving is None)
                 self.door.share(sum(other.descriptors for other in others))
         except OSError as error:
-            self.few_records.warn("upgrade: locks can't be read: {error}", error=error)
+            self.few_records.write("upgrade: locks can't be read: {error}", error=error)
             return False
         return any(other.newer and other.ready for other in others)
--- a/puffindeck/net/visitor.py
+++ b/puffindeck/net/visitor.py
@@ -10,6 +10,7 @@
 
 from puffindeck.core.clock import ZERO, ms, span
 from puffindeck.core.deadlines import Deadline
+from puffindeck.core.request_observer import Reason
 from puffindeck.net.closing import LINGER, end_sending, has_left, take_in
 from puffindeck.net.heads import CRLF, MAX_LINE, Head
 from puffindeck.net.host import Link
@@ -83,6 +84,7 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.node.clients.add(self)
+        self.node.wall_clock.look()  # also where no timer runs
         self._wait(FIRST_LINE)
         self.node.door.comes(self)
 
@@ -120,7 +122,7 @@
     def _turn_away(self, why: str) -> None:
         """It sends what can't be read, or out of turn: nothing of it is served."""
         if self.phase not in OVER:
-            self.node.few.warn("client: first line can't be read: {why}", why=why)
+            self.node.few.write("client: first line can't be read: {why}", why=why)
             self._answer(b"ERR")
 
     def _excuse(self) -> None:
@@ -144,6 +146,11 @@
         self._wait(LINGER)
         self.node.door.leaves(self)  # last: where there is no room it is closed at once
 
+    def log_close(self, why: Reason) -> None:
+        """Its connection, which stood, ends for this reason."""
+        if self._head is not None:
+            self.node.request_log.closed(self._head.id.decode(), why)
+
     def _drop_id(self) -> None:
         if self._head is not None:
             self.node.open_ids.discard(self._head.id)
--- /dev/null
+++ b/tests/test_request_log.py
@@ -0,0 +1,110 @@
+"""Each request's life in the log: attempts, its answer and its end, by its client's own id."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.task import Clock as FakeTimers
+from twisted.logger import globalLogPublisher
+
+from puffindeck.core.clock import Clock
+from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.request_observer import Answer, Reason
+from puffindeck.net import request_log, wall_clock
+from puffindeck.net.logs import line
+from puffindeck.net.request_log import RequestLog
+from puffindeck.net.wall_clock import WallClock
+from tests.stories import Story
+from tests.test_node import ASK
+
+
+class RequestLogStories(Story):
+    """What the log has of a request."""
+
+    def written(self) -> list[str]:
+        seen: list[str] = []
+
+        def observe(event: Any) -> None:
+            text = line(event)
+            if text is not None and "request " in text:
+                seen.append(text.partition("request ")[2].rstrip())
+
+        observer: Any = observe
+        globalLogPublisher.addObserver(observer)
+        self.addCleanup(globalLogPublisher.removeObserver, observer)
+        return seen
+
+    async def test_an_attempt_that_fails_a_retry_the_answer_and_the_close_each_have_a_line(self) -> None:
+        self.build()
+        seen = self.written()
+        client = await self.client(ASK)
+        first, host = await self.host_of()
+        await host.line()
+        host.write(b"ERR\r\n")
+        second, host = await self.host_of(first)
+        await host.line()
+        host.write(b"UP r1\r\n")
+        await client.line()
+        host.transport.loseConnection()
+        await client.ended()
+        await self.until(lambda: len(seen) == 5, f"five lines: {seen}")
+        seen[1] = seen[1].rpartition(" after")[0]
+        name = f"{1:016x}"
+        self.assertEqual(seen, [
+            f"{name}: attempt 0 at {first}", f"{name}: attempt 0 at {first} ended: error",
+            f"{name}: attempt 1 at {second}", f"{name}: up: the server took it",
+            f"{name}: closed: the server ended it",
+        ])
+
+    async def test_a_client_that_leaves_and_one_refused_by_a_node_that_stops_have_a_line(self) -> None:
+        self.build()
+        seen = self.written()
+        client = await self.client(ASK)
+        _, host = await self.host_of()
+        await host.line()
+        client.transport.loseConnection()
+        await host.ended()
+        self.node.shut = True
+        await (await self.client(ASK)).line()
+        self.assertIn(f"{1:016x}: closed: the client left", seen)
+        self.assertIn(f"{2:016x}: refused: this node stops", seen)
+
+
+def test_a_storm_writes_a_bounded_number_of_lines_and_counts_the_rest() -> None:
+    written: list[str] = []
+
+    class Lines:
+        def info(self, text: str, **values: Any) -> None:
+            written.append(text.format(**values))
+
+    class Timers:
+        def callLater(self, delay: float, callable: Any) -> Any:
+            return FakeTimers().callLater(delay, callable)
+
+    log: Any = Lines()
+    requests = RequestLog(log, Deadlines(Clock(), Timers()), str)
+    for number in range(request_log.LINES + 3):
+        requests.answered(str(number), Answer.REFUSED, Reason.DECISION)
+    assert len(written) == request_log.LINES
+    requests._answers._report()
+    assert written[-1] == "requests: answers: 3 more like these"
+
+
+def test_a_step_of_the_wall_clock_is_written_once_and_no_trimming_of_it() -> None:
+    seen: list[str] = []
+
+    def observe(event: Any) -> None:
+        seen.append(line(event) or "")
+
+    now = [1000.0]
+    observer: Any = observe
+    globalLogPublisher.addObserver(observer)
+    try:
+        clock = WallClock(lambda: now[0])
+        for ahead in (0.0, 0.1, -3600.0, -3600.0):
+            now[0] = 1000.0 + ahead
+            clock.look()
+    finally:
+        globalLogPublisher.removeObserver(observer)
+    assert wall_clock.STEP.total_seconds() > 0.1
+    assert [text.rpartition("stepped by ")[2][:6] for text in seen] == ["-3600."]
