--- /dev/null
+++ b/packages/faults/src/puffindeck_faults/hosts.py
@@ -0,0 +1,119 @@
+"""A stand-in host of the platform's protocol, whose behaviour is switched while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import suppress
+from enum import Enum, auto
+
+from puffindeck_faults.records import Attempt, Records, now
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER, socket(7): on, for 0 s
+
+
+class Behaviour(Enum):
+    """What a host does with first lines and with lines on open connections."""
+
+    SERVE = auto()
+    HANG = auto()  # reads all, says nothing, to nobody
+    ERROR = auto()  # ERR to first lines
+    FULL = auto()  # BUSY to first lines
+    RESET = auto()  # breaks the connection once it has the first line
+    CLOSE = auto()  # ends it instead
+    BYE = auto()  # ends open connections in good order at their next line
+
+
+class Host:
+    """One host at a port of loopback."""
+
+    def __init__(self, name: str, records: Records) -> None:
+        self.name, self._records = name, records
+        self.behaviour = Behaviour.SERVE
+        self.delay_s = 0.0  # before UP
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._open: dict[asyncio.StreamWriter, Attempt] = {}
+        self._count = 0
+
+    async def start(self) -> None:
+        """Listen, at the same port as before once it has had one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, backlog=512)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def die(self) -> None:
+        """As a process that is killed: all connections are reset, new ones refused."""
+        self._records.host_ends.setdefault(self.name, []).append(now())
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer, attempt in list(self._open.items()):
+            attempt.ended_by_host = True
+            self._reset(writer)
+
+    @staticmethod
+    def _reset(writer: asyncio.StreamWriter) -> None:
+        connection = writer.get_extra_info("socket")
+        with suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        attempt = Attempt(self.name, now())
+        self._records.attempts.append(attempt)
+        self._open[writer] = attempt
+        try:
+            if await self._first_line(reader, attempt):
+                await self._answer(reader, writer, attempt)
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            attempt.closed = attempt.closed or now()
+            self._open.pop(writer, None)
+            writer.close()
+
+    async def _first_line(self, reader: asyncio.StreamReader, attempt: Attempt) -> bool:
+        line = await reader.read(1)
+        if not line:
+            return False
+        attempt.first_byte = now()
+        line += await reader.readuntil(b"\r\n")
+        words = line.decode("ascii").split()
+        attempt.read = now()
+        attempt.request = words[1] if len(words) == 4 and words[0] == "OPEN" else "?"
+        return True
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, attempt: Attempt) -> None:
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        behaviour = self.behaviour
+        if behaviour is Behaviour.HANG:
+            while await reader.read(4096):
+                pass
+        elif behaviour is Behaviour.ERROR:
+            writer.write(b"ERR\r\n")
+        elif behaviour is Behaviour.FULL:
+            writer.write(b"BUSY\r\n")
+        elif behaviour is Behaviour.RESET:
+            attempt.ended_by_host = True
+            self._reset(writer)
+        elif behaviour is Behaviour.CLOSE:
+            attempt.ended_by_host = True
+        elif not reader.at_eof():
+            await self._open_connection(reader, writer, attempt)
+
+    async def _open_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, attempt: Attempt
+    ) -> None:
+        self._count += 1
+        attempt.receipt = f"{self.name}-{self._count}"
+        writer.write(f"UP {attempt.receipt}\r\n".encode())
+        attempt.up = now()
+        while line := await reader.readline():
+            if self.behaviour is Behaviour.BYE:
+                attempt.ended_by_host = True
+                writer.write(b"BYE\r\n")
+                return
+            if self.behaviour is not Behaviour.HANG:
+                writer.write(line)
