Timers go by the monotonic clock: none is held back when the wall clock is stepped

Lines at fault: Deadlines._set and __main__, which took the reactor's clock as it is. Change: __main__ has the reactor measure on the monotonic clock; Deadlines sets a timer anew that is over 250 ms overdue, for reactors that are not ours.

--- a/puffindeck/__main__.py
+++ b/puffindeck/__main__.py
@@ -15,6 +15,7 @@
 
 from puffindeck import config
 from puffindeck.core.clock import Clock, span
+from puffindeck.core.reactor_clock import use_monotonic_clock
 from puffindeck.net.logs import json_line, line
 from puffindeck.net.node import Node
 
@@ -24,6 +25,7 @@
 
 def main(given: list[str] | None = None) -> int:
     """Run until told to stop. Configuration that can't be used ends it with one line."""
+    use_monotonic_clock(reactor)
     arguments = ArgumentParser(prog="puffindeck", description="One real node.")
     arguments.add_argument("--config", default="", metavar="FILE", help="an operator's file, for EDGE_CONFIG")
     chosen = arguments.parse_args(given)
--- a/puffindeck/core/deadlines.py
+++ b/puffindeck/core/deadlines.py
@@ -81,13 +81,20 @@
             return
         first = self._heap[0][0]
         if self._timer is not None:
-            if self._timer_at <= first:
+            if self._timer_at <= first and not self._stuck():
                 return
             self._timer.cancel()
         self._timer_at = first
         wait = max(0.0, (first - self.clock.now()).total_seconds())
         self._timer = self._timers.callLater(wait, self.run)
 
+    def _stuck(self) -> bool:
+        """Is the timer that waits long overdue? One on a wall clock that was set back is.
+
+        In a program of somebody else's the reactor may measure its timers on that clock.
+        """
+        return self.clock.now() - self._timer_at > LATE
+
     def _log_late(self, now: timedelta) -> None:
         late = now - self._timer_at
         if late > LATE:
