What this machine lacks for a moment ends no request, and no server is blamed for it

Cause, found on the related paths of the incident: errors of our own system calls were taken for the other side's. Twisted's port closed connections unread on EMFILE; a connect that EADDRNOTAVAIL, ENFILE or EINTR kept from beginning used up an attempt and made its server suspect (choice/judging.py); a read with ENOMEM or ENOBUFS ended its connection (tcp.Connection.doRead); closing.has_left took such an error for the client's end; a file that could not be read at SIGHUP was given up. Checked and ruled out: EINTR and short reads and writes, which CPython and the transports bear.

--- a/packages/faults/tests/test_wall_clock.py
+++ b/packages/faults/tests/test_wall_clock.py
@@ -12,7 +12,6 @@
 
 import pytest
 from puffindeck_faults.hosts import Behaviour
-from puffindeck_faults.machine import NoCompilerError, library
 from puffindeck_faults.records import now
 from puffindeck_faults.world import CLASSES, World
 
@@ -101,11 +100,6 @@
 
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_every_wait_ends_in_its_time(tmp_path: Path, step_s: float) -> None:
-    try:
-        library()
-    except NoCompilerError as error:
-        pytest.skip(str(error))
-
     async def all_stories() -> None:
         await asyncio.gather(*(story(tmp_path / story.__name__, step_s) for story in STORIES))
 
--- a/packages/fleet/src/puffindeck_fleet/gateway.py
+++ b/packages/fleet/src/puffindeck_fleet/gateway.py
@@ -50,6 +50,7 @@
 log = Logger("puffindeck")
 
 TURN = span(50)  # how often quotas move rights
+KEEP_AGAIN = span(1000)  # how soon a folder that failed is tried again: what is owed is kept
 STATES = {Phase.ALIVE: "alive", Phase.SUSPECT: "suspect", Phase.DEAD: "dead", Phase.LEFT: "left"}
 
 
@@ -87,7 +88,9 @@
         self._engine: Any = None
         self._wake: Deadline | None = None
         self._turn: Deadline | None = None
-        self._incarnation = 0
+        self._incarnation = 0  # the newest that is kept
+        self._unkept = False  # the folder has failed since
+        self._keep_again: Deadline | None = None
         self._left = False
 
     def join(self, engine: Any, governor: Governor | None) -> None:
@@ -115,14 +118,24 @@
         return kept.incarnation if kept is not None else 0
 
     def _keep(self) -> None:
-        if self._keeper is None or self.member.incarnation == self._incarnation:
+        incarnation = self.member.incarnation
+        if self._keeper is None or self._keep_again is not None or incarnation == self._incarnation:
             return
-        self._incarnation = self.member.incarnation
         try:
-            self._keeper.write(Kept(self.name, self._incarnation))
+            self._keeper.write(Kept(self.name, incarnation))
         except FleetError as error:
-            log.error("fleet: {error}", error=described(error))
-            self._keeper = None
+            if not self._unkept:
+                log.error("fleet: {error}", error=described(error))
+            self._unkept = True
+            self._keep_again = self.deadlines.after(KEEP_AGAIN, self._keep_once_more)
+        else:
+            if self._unkept:
+                log.info("fleet: incarnation {incarnation} is kept again", incarnation=incarnation)
+            self._incarnation, self._unkept = incarnation, False
+
+    def _keep_once_more(self) -> None:
+        self._keep_again = None
+        self._keep()
 
     # Datagrams and timers
 
@@ -255,6 +268,7 @@
         self._left = True
         self.deadlines.cancel(self._wake)
         self.deadlines.cancel(self._turn)
+        self.deadlines.cancel(self._keep_again)
         self._datagrams.close()
 
     # For staff
--- a/puffindeck/choice/attempts.py
+++ b/puffindeck/choice/attempts.py
@@ -138,8 +138,12 @@
             self._judge(server, request, event, begun)
         if event.outcome in NEVER_RAN and request.ran_ms == request.sent_ms:
             request.ran = None  # the first that may have run did not: the next may again go anywhere
+        if event.outcome == Outcome.NO_RESOURCE:
+            request.most += 1
         if event.final or request.answered:
             self._drop(request)
+        elif event.outcome == Outcome.NO_RESOURCE:
+            self._at(self.now + RETRY_MS, self._place, request)
         elif event.outcome == Outcome.CONNECT_FAILED or request.attempts == 1:
             self._place(request)
         else:  # tries that fail fast must not be used up at once, nor storm what is in trouble
--- a/puffindeck/config/__init__.py
+++ b/puffindeck/config/__init__.py
@@ -5,7 +5,7 @@
 of a client-side plug-in.
 """
 
-from puffindeck.config.checks import ConfigError, address
+from puffindeck.config.checks import ConfigError, ConfigUnreadable, address
 from puffindeck.config.members import Members, Target
 from puffindeck.config.nodefile import Limits, Node, NodeFile, node
 from puffindeck.config.quicfront import Quic, QuicTable, quic
@@ -13,6 +13,6 @@
 from puffindeck.config.tuning import settings, settings_of
 
 __all__ = [
-    "ConfigError", "Limits", "Members", "Node", "NodeFile", "Quic", "QuicTable", "Target", "address", "again",
-    "node", "quic", "settings", "settings_of",
+    "ConfigError", "ConfigUnreadable", "Limits", "Members", "Node", "NodeFile", "Quic", "QuicTable", "Target",
+    "address", "again", "node", "quic", "settings", "settings_of",
 ]
--- a/puffindeck/config/checks.py
+++ b/puffindeck/config/checks.py
@@ -9,6 +9,10 @@
     """The configuration can't be used; the text names the key."""
 
 
+class ConfigUnreadable(ConfigError):
+    """The file can't be read just now; its text may be of use."""
+
+
 def need(table: Any, path: str, where: str = "settings") -> Any:
     for key in path.split("."):
         if not isinstance(table, dict) or key not in table:
--- a/puffindeck/config/nodefile.py
+++ b/puffindeck/config/nodefile.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from puffindeck.config.checks import ConfigError, address
+from puffindeck.config.checks import ConfigError, ConfigUnreadable, address
 from puffindeck.config.members import Members
 from puffindeck.config.quicfront import Quic, QuicTable, quic
 from puffindeck.config.routing import RoutingTable, routing
@@ -92,7 +92,7 @@
         keys = decode(Path(path).read_bytes())
         file = msgspec.convert(keys, NodeFile)
     except OSError as error:
-        raise ConfigError(f"{source}: {path}: {error.strerror}") from None
+        raise ConfigUnreadable(f"{source}: {path}: {error.strerror}") from None
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise ConfigError(f"{source}: {path}: {error}") from None
     try:
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -330,6 +330,8 @@
         self.deadlines.cancel(held.expiry)
         if outcome == Outcome.OK:
             held.answered = True
+        if outcome == Outcome.NO_RESOURCE:
+            held.most += 1  # it reached nobody, and is none of the attempts that are allowed
         took = self.clock.now() - held.sent
         if not held.begun:
             self.observer.attempt_ended(held.id, held.server, ticket.attempt, outcome, took)
--- a/puffindeck/interface.py
+++ b/puffindeck/interface.py
@@ -54,9 +54,10 @@
     RESET = 6
     CANCELLED = 7
     MOOT = 8
+    NO_RESOURCE = 9  # this machine had no descriptor, port or memory to begin it: no server is to blame
 
 
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.NO_RESOURCE})
 
 
 @dataclass(slots=True, frozen=True)
--- a/puffindeck/net/closing.py
+++ b/puffindeck/net/closing.py
@@ -15,6 +15,7 @@
 
 from puffindeck.core.clock import span
 from puffindeck.core.deadlines import Deadlines
+from puffindeck.net.machine_errors import NOT_NOW
 
 LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
 
@@ -44,10 +45,8 @@
         return True
     try:
         return not transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except (BlockingIOError, InterruptedError):
-        return False
-    except OSError:
-        return True
+    except OSError as error:
+        return error.errno not in NOT_NOW
 
 
 def close(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
--- a/puffindeck/net/door.py
+++ b/puffindeck/net/door.py
@@ -6,21 +6,13 @@
 
 from __future__ import annotations
 
-import os
 import resource
-import socket
 from collections.abc import Callable
-from typing import Any, Protocol
-
-from twisted.internet import tcp
-from twisted.internet.error import ConnectionDone
-from twisted.python.failure import Failure
+from typing import Protocol
 
 PART = 6  # one in this many descriptors may be held by clients at the door in any case
 NEXT = 40  # descriptors for those who ask next, and for their hosts
 SPARE = 40  # descriptors for the log, the reactor, discovery, a turn's accepts and closes under way
-ACCEPTS = 16  # connections taken in one turn of the reactor
-ROUNDS = 80  # of so many, when a port is to close: more than may wait there, and an end where ever more come
 
 
 class Guest(Protocol):
@@ -30,56 +22,6 @@
         """Close at once, with nothing more to say."""
 
 
-class Port(tcp.Port):
-    """A listening port that takes in a few connections at a time, however many wait."""
-
-    @property
-    def numberAccepts(self) -> int:
-        return ACCEPTS
-
-    @numberAccepts.setter
-    def numberAccepts(self, count: int) -> None:
-        """The library would take in ever more."""
-
-    def take_in(self) -> int:
-        """Accept all whose connections stand by now: a port that closes resets those. How many there were."""
-        begun = self.sessionno
-        for _ in range(ROUNDS):
-            before = self.sessionno
-            if self.connected and not self.disconnecting:
-                self.doRead()
-            if self.sessionno == before:
-                break
-        return int(self.sessionno - begun)
-
-    def shut(self) -> None:
-        """Close in this turn, with nobody between the last accept and the close."""
-        if self.connected and not self.disconnecting:
-            self.disconnecting = True
-            self.stopReading()
-            self.connectionLost(Failure(ConnectionDone()))
-
-
-def adopt(reactor: Any, descriptor: int, factory: Any) -> Port:
-    """A socket that others hold too, as the reactor's adoptStreamPort does it, with our Port.
-
-    It is never shut down, as that would end it for all of them, and from now on it does not block.
-    """
-    os.set_blocking(descriptor, False)
-    with socket.socket(fileno=os.dup(descriptor)) as held:
-        family = held.family
-    opened: Port = Port._fromListeningDescriptor(reactor, descriptor, family, factory)
-    opened.startListening()
-    return opened
-
-
-def listen(reactor: Any, address: tuple[str, int], factory: Any, backlog: int) -> Port:
-    host, port = address
-    opened = Port(port, factory, backlog, host, reactor)
-    opened.startListening()
-    return opened
-
-
 class Door:
     """The clients at the door, oldest first, and the descriptors in use."""
 
@@ -146,13 +88,21 @@
         self._making_room = True
         try:
             while self._held() > self._most():
-                table = self.idle or max(self.leaving, self.waiting, key=len)
-                oldest = next(iter(table))
-                del table[oldest]
-                self._put_out.add(oldest)
-                oldest.put_out()
+                self._put_out_oldest()
         finally:
             self._making_room = False
 
+    def _put_out_oldest(self) -> None:
+        table = self.idle or max(self.leaving, self.waiting, key=len)
+        oldest = next(iter(table))
+        del table[oldest]
+        self._put_out.add(oldest)
+        oldest.put_out()
+
+    def free_one(self) -> None:
+        """The system has no descriptor left, whatever was reckoned: one who asks nothing gives up its own."""
+        if self._held() and not self._making_room:
+            self._put_out_oldest()
+
     def _most(self) -> int:
         return max(self.least, self.sockets - self._reserved - self._used() - NEXT)
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/host.py
@@ -18,6 +18,8 @@
 from puffindeck.interface import Outcome
 from puffindeck.net.closing import close, flush, take_in
 from puffindeck.net.heads import CRLF, MAX_LINE, Head
+from puffindeck.net.machine_errors import NO_RESOURCE, errno_of
+from puffindeck.net.transports import Connector
 
 log = Logger("puffindeck")
 
@@ -123,10 +125,11 @@
 
     def connect(self, reactor: Any, address: tuple[str, int], patience: timedelta) -> None:
         """Try to reach the host. Only the deadlines' one timer runs on it, not one of the reactor's own."""
-        self._patience = self.deadlines.after(patience, self.finish, Outcome.CONNECT_FAILED)
+        self._patience = self.deadlines.after(patience, self._not_up)
         try:
-            self._connector = reactor.connectTCP(*address, self, timeout=None)
-        except Exception as error:  # no descriptor left, or an address of no use: never a crash
+            self._connector = Connector(reactor, address, self)
+            self._connector.connect()
+        except Exception as error:  # an address of no use: never a crash
             log.warn("host {host}: can't connect: {error}", host=self.host, error=error)
             self.client.link_closed(self)
             self.finish(Outcome.CONNECT_FAILED)
@@ -134,9 +137,16 @@
     def buildProtocol(self, addr: object) -> HostLine:
         return HostLine(self)
 
+    def _not_up(self) -> None:
+        """It has not come up in time. Held up itself, this process may not have seen that it has."""
+        self._patience = self.deadlines.after(ZERO, self.finish, Outcome.CONNECT_FAILED)
+
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self.client.link_closed(self)
-        self.finish(Outcome.CONNECT_FAILED)
+        if errno_of(reason.value) in NO_RESOURCE:  # of this machine: the host is not to blame
+            self.finish(Outcome.NO_RESOURCE)
+        else:
+            self.finish(Outcome.CONNECT_FAILED)
 
     def connected(self, line: HostLine) -> None:
         self.line = line
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -10,15 +10,15 @@
 from twisted.internet.protocol import Factory
 from twisted.logger import Logger
 
-from puffindeck.config import ConfigError, Quic
+from puffindeck.config import ConfigError, ConfigUnreadable, Quic
 from puffindeck.config import Node as Told
 from puffindeck.core.clock import span
 from puffindeck.interface import ListKind, Settings
 from puffindeck.net.client import ClientLine
 from puffindeck.net.discovery import Watch
-from puffindeck.net.door import Port, adopt, listen
 from puffindeck.net.joining import Joining
 from puffindeck.net.leaving import LAME, RESTART, UPGRADE, Leaving, Pace
+from puffindeck.net.listening import Port, adopt, listen
 from puffindeck.net.operator import CALLERS, Operator
 from puffindeck.net.staffing import Staffing
 from puffindeck.net.succession import Succession
@@ -34,6 +34,7 @@
 SWEEP = span(250)  # how often open connections are looked over
 SILENT = span(3250)
 COME_BACK = span(150)  # when a client refused by a node without room may come again
+READ_AGAIN = span(500)  # how soon a file that the system could not read at a reload is tried again
 DROPPED = span(5000)  # how long a class that is dropped is served: its clients learn of it later
 
 
@@ -56,11 +57,11 @@
         """Listen, and ask for the list; readiness comes with the first answer, be it that there is none."""
         host, port = self.told.listen
         if self.told.inherited is None:
-            self.port = listen(self.reactor, self.told.listen, ClientFactory(self), BACKLOG)
+            self.port = self._listen(self.told.listen, ClientFactory(self))
         else:
             self._join()
         for name, address in (self.told.routing.listeners.items() if self.told.routing else ()):
-            opened = listen(self.reactor, address, ClientFactory(self, name), BACKLOG)
+            opened = self._listen(address, ClientFactory(self, name))
             self.more_ports.append(opened)
             log.info("node {node}: listener {name} on {host}:{port}", node=self.told.name, name=name,
                      host=address[0], port=opened.getHost().port)
@@ -81,6 +82,12 @@
         log.info("node {name}: listening on {host}:{port}, {count} descriptors", name=self.told.name,
                  host=host, port=port, count=self.door.sockets)
 
+    def _listen(self, address: tuple[str, int], factory: ClientFactory) -> Port:
+        """A port for clients. Where descriptors are short, one who asks nothing gives up its own."""
+        opened = listen(self.reactor, address, factory, BACKLOG)
+        opened.on_blocked = self.door.free_one
+        return opened
+
     def _hand_over(self) -> None:
         """The newer process is ready: accept nothing more, and leave."""
         log.info("upgrade: a newer process is ready")
@@ -121,10 +128,15 @@
 
     def reload(self, read: Callable[[Told], tuple[Told, list[str]]]) -> None:
         """Take up what has changed in the file. One that can't be used changes nothing."""
+        self.deadlines.cancel(self._read_again)
         if self.ended:
             return
         try:
             told, later = read(self.told)
+        except ConfigUnreadable as error:
+            self._read_again = self.deadlines.after(READ_AGAIN, self.reload, read)
+            log.error("reload: tried again, the old settings stay in force till then: {error}", error=error)
+            return
         except ConfigError as error:
             log.error("reload: the old settings stay in force: {error}", error=error)
             return
@@ -177,6 +189,7 @@
             if self.told.inherited is not None and (self.leaving is None or not self.leaving.ends):
                 self._follow_up()
                 self.port = adopt(self.reactor, self.told.inherited, ClientFactory(self))
+                self.port.on_blocked = self.door.free_one
                 self.generation.tell(self.leaving is None)
             log.info("node {name}: ready", name=self.told.name)
             self._tell_waiting()
@@ -278,10 +291,11 @@
 
     def shut_ports(self) -> bool:
         came = sum(port.take_in() for port in self._ports()) if self.told.inherited is None else 0
+        blocked = any(port.blocked for port in self._ports())  # some still wait there
         late = self.leaving is not None and self.leaving.late
-        if not came or late:
+        if late or not (came or blocked):
             self._stop_accepting()
-        return not came
+        return not (came or blocked)
 
     def _stopped(self) -> None:
         self.ended = True
--- a/puffindeck/net/parts.py
+++ b/puffindeck/net/parts.py
@@ -11,7 +11,7 @@
 from puffindeck.choice import Balancer
 from puffindeck.config import Node as Told
 from puffindeck.core.clock import Clock, span
-from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Decisions, Engine
 from puffindeck.net.door import Door
 from puffindeck.net.logs import Few
@@ -67,6 +67,7 @@
         self.few_records = Few(log, self.deadlines, "staff: records can't be read")
         self.ready = self.shut = self.ended = False
         self.leaving: Any = None  # Leaving
+        self._read_again: Deadline | None = None  # of a file that could not be read
         self._waiting: dict[Callable[[bool], None], None] = {}  # in the order in which they asked
         self.wall_clock = WallClock()
         self.records, self.detached = Records(told.folder / "detached"), set[str]()
--- a/puffindeck/net/staffing.py
+++ b/puffindeck/net/staffing.py
@@ -27,14 +27,14 @@
         known = self.directory.known(host)
         if known:
             self.records.put(host)  # the record comes before the yes
-            self._take_up()
+            self._detached_now(host)  # not by reading: a folder that can't be read must not keep a yes back
         return known
 
     def attach(self, host: str) -> bool:
         known = self.directory.known(host) or host in self.detached
         if known:
             self.records.drop(host)
-            self._take_up()
+            self._attached_now(host)
         return known
 
     def _poll(self) -> None:
@@ -48,9 +48,18 @@
     def _take_up(self) -> None:
         marked = self.records.read()
         for host in sorted(marked - self.detached):
+            self._detached_now(host)
+        for host in sorted(self.detached - marked):
+            self._attached_now(host)
+
+    def _detached_now(self, host: str) -> None:
+        if host not in self.detached:
             log.info("host {host}: detached", host=host)
+            self.detached.add(host)
             self.engine.detach(self.directory.number(host))
-        for host in sorted(self.detached - marked):
+
+    def _attached_now(self, host: str) -> None:
+        if host in self.detached:
             log.info("host {host}: attached", host=host)
+            self.detached.discard(host)
             self.engine.attach(self.directory.number(host))
-        self.detached = marked
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -147,9 +147,12 @@
     def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
         link = BoxLink(self, ticket, server)
         address = self.front.directory.addresses.get(server)
-        if address is None or not self.front.engine.may_reach(server) or not link.open(address):
+        if address is None or not self.front.engine.may_reach(server):
             link.finish(Outcome.CONNECT_FAILED)
             return None
+        if not link.open(address):
+            link.finish(Outcome.NO_RESOURCE)
+            return None
         self.link = link
         for datagram in self._kept:
             link.send(datagram)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -7,10 +7,10 @@
 
 from puffindeck.core.clock import span
 from puffindeck.interface import Ended, Outcome
-from puffindeck.net import discovery
 from puffindeck.net import node as node_module
 from puffindeck.net.client import ClientLine
 from puffindeck.net.visitor import NEXT, OVER, Phase
+from puffindeck.roster.watch import ANSWER
 from tests.crossing import ASK, CrossingStory
 
 
@@ -142,7 +142,7 @@
         patience = self.node.watch._patience
         assert patience is not None
         assert patience.act is not None
-        self.assertLessEqual(patience.when, self.node.deadlines.clock.now() + discovery.ANSWER)
+        self.assertLessEqual(patience.when, self.node.deadlines.clock.now() + ANSWER)
         patience.act(*patience.args)
         await self.until(lambda: line.phase is Phase.RESTS, "readiness")
         self.assertEqual(await self.exactly(plain, 6), b"PONG\r\n")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,7 @@
 from puffindeck.core.clock import ms, span
 from puffindeck.core.engine import Ticket
 from puffindeck.interface import DelayTold, Effect, Ended, Listed, ListKind, Opened, Outcome, Retuned
-from puffindeck.net import discovery, door, logs, node, visitor
+from puffindeck.net import discovery, door, listening, logs, node, visitor
 from puffindeck.net.heads import Head, HeadError
 from puffindeck.net.leaving import Pace
 from tests.stories import Listener, Story, reactor
@@ -334,7 +334,7 @@
     async def test_a_turn_takes_in_few_and_their_lines_are_few(self) -> None:
         self.build()
         self.node.port.numberAccepts = 500  # as the library would set it
-        self.assertEqual(self.node.port.numberAccepts, door.ACCEPTS)
+        self.assertEqual(self.node.port.numberAccepts, listening.ACCEPTS)
         with patch.object(self.node.few, "_log") as written, patch.object(logs, "PERIOD", span(300)):
             for _ in range(logs.LINES + 5):
                 await (await self.client("HI")).line()
