--- a/packages/faults/src/puffindeck_faults/discovery.py
+++ b/packages/faults/src/puffindeck_faults/discovery.py
@@ -57,6 +57,7 @@
         self._servers.clear()
         for writer in list(self._open):
             writer.transport.abort()
+        self._watches.clear()
 
     async def resume(self) -> None:
         """Back again at all addresses."""
@@ -77,6 +78,7 @@
         for writer, watching in list(self._watches.items()):
             if watching == node:
                 writer.transport.abort()
+                del self._watches[writer]
 
     def change(self, *targets: Target) -> None:
         """Add or change hosts; state DELETED takes one out."""
@@ -89,8 +91,9 @@
             else:
                 self.targets[target.uid] = target
             if not self.silent:
-                for node in self._watches.values():
-                    change.written.setdefault(node, now())
+                for writer, node in self._watches.items():
+                    if not writer.is_closing():
+                        change.written.setdefault(node, now())
         body = self._list(False, targets)
         if not self.silent:
             for writer in list(self._watches):
@@ -115,8 +118,8 @@
             while self.silent:
                 await asyncio.sleep(0.05)
             await self._answer(node, head.split()[1], writer)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # cancelled only when the run is over
         finally:
             self._watches.pop(writer, None)
             self._open.discard(writer)
--- a/packages/faults/src/puffindeck_faults/hosts.py
+++ b/packages/faults/src/puffindeck_faults/hosts.py
@@ -66,8 +66,8 @@
         try:
             if await self._first_line(reader, attempt):
                 await self._answer(reader, writer, attempt)
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass  # cancelled only when the run is over
         finally:
             attempt.closed = attempt.closed or now()
             self._open.pop(writer, None)
--- a/packages/faults/src/puffindeck_faults/records.py
+++ b/packages/faults/src/puffindeck_faults/records.py
@@ -80,3 +80,4 @@
     changes: list[HostChange] = field(default_factory=list)
     unreachable: list[tuple[float, float]] = field(default_factory=list)  # spans in which discovery was down
     host_ends: dict[str, list[float]] = field(default_factory=dict)  # when hosts' processes died
+    host_starts: dict[str, list[float]] = field(default_factory=dict)  # when they started cold
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -98,12 +98,8 @@
         return Operator(self, self.deadlines)
 
     def _start_operator(self, address: tuple[str, int]) -> None:
-        try:
-            self.records.open()
-        except OSError as error:  # serving goes on; each call to detach says no
-            log.error("staff: no records: {error}", error=error)
-        else:
-            self._poll()
+        self._make_folder()  # one that can't be made is tried again
+        self._poll()
         self.operator_port = listen(self.reactor, address, self.operator, CALLERS)
         log.info("node {name}: staff's calls on {host}:{port}", name=self.told.name, host=address[0],
                  port=address[1])
--- a/puffindeck/net/operator.py
+++ b/puffindeck/net/operator.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 from io import BytesIO
 from typing import Any, Protocol
 
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.protocol import Factory
 from twisted.logger import Logger
+from twisted.python.failure import Failure
 from twisted.web import http
 
 from puffindeck.core.clock import span
@@ -15,8 +18,12 @@
 
 log = Logger("puffindeck")
 
+Answer = tuple[int, str] | Deferred[tuple[int, str]]  # a status and its line, now or soon
+
 CALLERS = 16  # connections at once; a whole call is answered in the turn in which it is read
 PATIENCE = span(3000)  # how long a caller may be without a whole call
+# A call is due its answer within 1 s; so long, and so often, it is looked whether the record is written.
+RECORDED, RECORD_AGAIN = span(700), span(50)
 
 
 class Staffed(Protocol):
@@ -28,6 +35,8 @@
 
     def attach(self, host: str) -> bool: ...
 
+    def unrecorded_because(self, host: str) -> str: ...
+
     def lame(self) -> None: ...
 
     def unlame(self) -> bool: ...
@@ -53,14 +62,22 @@
     def process(self) -> None:
         self.channel.persistent = False
         factory: Operator = self.channel.factory
-        try:
-            status, text = factory.answer(self.method, self.path, self.args)
-        except Exception as error:  # no yes without the deed
-            log.failure("staff: call failed")
-            status, text = http.INTERNAL_SERVER_ERROR, f"no: {error}"
+        answered: Deferred[Any] = maybeDeferred(factory.answer, self.method, self.path, self.args)
+        answered.addErrback(self._failed)  # no yes without the deed
+        answered.addCallback(self._respond)
+
+    @staticmethod
+    def _failed(failure: Failure) -> tuple[int, str]:
+        log.failure("staff: call failed", failure)
+        return http.INTERNAL_SERVER_ERROR, f"no: {failure.getErrorMessage()}"
+
+    def _respond(self, answer: tuple[int, str]) -> None:
+        status, text = answer
         if self.method != b"GET":  # readiness may be asked for many times a second
             log.info("staff: {method} {uri}: {status} {text}", method=self.method[:20].decode("latin-1"),
                      uri=self.uri[:200].decode("latin-1"), status=status, text=text)
+        if self._disconnected:
+            return
         body = f"{text}\n".encode()
         self.setResponseCode(status)
         kind = b"application/json" if text.startswith("{") else b"text/plain; charset=utf-8"
@@ -103,7 +120,7 @@
     def __init__(self, node: Staffed, deadlines: Deadlines) -> None:
         self.node, self.deadlines = node, deadlines
         self.callers: dict[Caller, None] = {}
-        self._calls: dict[bytes, tuple[bytes, Callable[[dict[bytes, list[bytes]]], tuple[int, str]]]] = {
+        self._calls: dict[bytes, tuple[bytes, Callable[[dict[bytes, list[bytes]]], Answer]]] = {
             b"/_ready": (b"GET", self._ready),
             b"/_hosts/detach": (b"PUT", lambda args: self._host(args, self.node.detach)),
             b"/_hosts/attach": (b"PUT", lambda args: self._host(args, self.node.attach)),
@@ -125,7 +142,7 @@
             del self.callers[oldest]
             oldest.put_out()
 
-    def answer(self, method: bytes, path: bytes, args: dict[bytes, list[bytes]]) -> tuple[int, str]:
+    def answer(self, method: bytes, path: bytes, args: dict[bytes, list[bytes]]) -> Answer:
         call = self._calls.get(path)
         if call is None:
             return http.NOT_FOUND, "no such call"
@@ -133,11 +150,23 @@
             return http.NOT_ALLOWED, f"{call[0].decode()} it"
         return call[1](args)
 
+    def _recorded(self, host: str, ends: timedelta) -> Answer:
+        """Yes once the word has its record; a folder that fails for a moment is waited for."""
+        why = self.node.unrecorded_because(host)
+        if not why:
+            return http.OK, "yes"
+        if self.deadlines.clock.now() >= ends:
+            return http.INSUFFICIENT_STORAGE_SPACE, f"no: it holds here, but can't be recorded yet: {why}"
+        later: Deferred[tuple[int, str]] = Deferred()
+        self.deadlines.after(RECORD_AGAIN, later.callback, None)
+        later.addCallback(lambda _: self._recorded(host, ends))
+        return later
+
     def _ready(self, _: dict[bytes, list[bytes]]) -> tuple[int, str]:
         why = self.node.why_not_ready()
         return (http.SERVICE_UNAVAILABLE, f"no: {why}") if why else (http.OK, "yes")
 
-    def _host(self, args: dict[bytes, list[bytes]], act: Callable[[str], bool]) -> tuple[int, str]:
+    def _host(self, args: dict[bytes, list[bytes]], act: Callable[[str], bool]) -> Answer:
         named = args.get(b"member", [])
         if len(named) != 1 or not named[0]:
             return http.BAD_REQUEST, "no: one member=ID"
@@ -145,11 +174,9 @@
             host = named[0].decode()
         except UnicodeDecodeError:
             return http.BAD_REQUEST, "no: member is not UTF-8"
-        try:
-            known = act(host)
-        except OSError as error:
-            return http.INSUFFICIENT_STORAGE_SPACE, f"no: it can't be recorded: {error}"
-        return (http.OK, "yes") if known else (http.NOT_FOUND, "no: the list has not named this host")
+        if not act(host):
+            return http.NOT_FOUND, "no: the list has not named this host"
+        return self._recorded(host, self.deadlines.clock.now() + RECORDED)
 
     @staticmethod
     def _shown(view: str) -> tuple[int, str]:
--- a/puffindeck/net/parts.py
+++ b/puffindeck/net/parts.py
@@ -71,6 +71,7 @@
         self._waiting: dict[Callable[[bool], None], None] = {}  # in the order in which they asked
         self.wall_clock = WallClock()
         self.records, self.detached = Records(told.folder / "detached"), set[str]()
+        self.unrecorded: dict[str, str] = {}  # hosts whose record the folder has not taken, and why
         self.generation = Generation(told.folder / "processes")
         self.port: Any = None
         self.more_ports: list[Any] = []  # of listeners that routes tell apart
--- a/puffindeck/net/upgrade.py
+++ b/puffindeck/net/upgrade.py
@@ -58,7 +58,8 @@
     def tell(self, ready: bool) -> None:
         """Say how this process is; the same number of octets each time, so that no half of it is read."""
         if self._file >= 0:
-            os.pwrite(self._file, b"%d %8d\n" % (ready, descriptors()), 0)
+            with suppress(OSError):  # what was said before holds; it is said again with the next look
+                os.pwrite(self._file, b"%d %8d\n" % (ready, descriptors()), 0)
 
     def others(self) -> list[Other]:
         found = []
