--- a/packages/faults/src/puffindeck_faults/checker.py
+++ b/packages/faults/src/puffindeck_faults/checker.py
@@ -18,6 +18,7 @@
 AFTER_LEFT_S = 0.1  # no attempt is begun later than this after its client has closed
 HOST_ENDED_S = 1.0  # a connection that its host has ended is ended within this
 SILENT_S = 7.0  # a connection that brings nothing back is ended within this
+STAFF_S = 1.0  # a call of staff's counts this long after it at the latest
 TOLD_S = 6.0  # what discovery has to tell counts as told so much later
 READY_S = 10.0  # nine in ten restarts are ready within this
 FEW = 30  # a cold server's N below which its bound is wider
@@ -144,6 +145,7 @@
         for request, attempts in self._attempts.items():
             client = self._clients.get(request)
             for one in attempts if client is not None else ():
+                yield from self._detached(client, one, request)
                 begun = one.first_byte or 0.0
                 before = [change for change in by_host[one.host] if change.made <= begun]
                 if client is None or not before or before[-1].state == "SERVING":
@@ -152,6 +154,16 @@
                 if late > SLACK_S:
                     yield Break("drain", begun, f"{one.host}, {late:.2f} s after its grace", request)
 
+    def _detached(self, client: ClientRecord | None, one: Attempt, request: str) -> Iterator[Break]:
+        """A host that staff took out counts as out with the yes, or 1 s after the call."""
+        begun = one.first_byte or 0.0
+        for word in self._records.detachments:
+            if client is None or (word.node, word.host) != (client.node, one.host):
+                continue
+            since = min(word.said_yes or math.inf, word.asked + STAFF_S) + self._terms.drain_grace_s
+            if since + SLACK_S < begun < (word.over or math.inf):
+                yield Break("drain", begun, f"{one.host} was out for {begun - since:.2f} s", request)
+
     # Slow start
 
     def bound(self, age_s: float) -> float:
--- a/packages/faults/src/puffindeck_faults/clients.py
+++ b/packages/faults/src/puffindeck_faults/clients.py
@@ -28,8 +28,8 @@
 class Clients:
     """Makes clients, and keeps what they saw."""
 
-    def __init__(self, records: Records, seed: int) -> None:
-        self._records, self._random = records, Random(f"{seed}/clients")
+    def __init__(self, records: Records, seed: int, address: str) -> None:
+        self._records, self._random, self._address = records, Random(f"{seed}/clients"), address
         self._count = 0
         self.running: set[asyncio.Task[None]] = set()
 
@@ -61,7 +61,7 @@
 
     async def _idle(self, port: int, text: bytes, hold_s: float) -> None:
         with suppress(OSError, TimeoutError):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(self._address, port)
             try:
                 writer.write(text)
                 await asyncio.wait_for(reader.read(), hold_s)
@@ -72,7 +72,7 @@
         self, record: ClientRecord, port: int, hold_s: float, leave_after_s: float | None
     ) -> None:
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(self._address, port)
         except OSError:
             return
         record.connected = now()
--- a/packages/faults/src/puffindeck_faults/discovery.py
+++ b/packages/faults/src/puffindeck_faults/discovery.py
@@ -29,8 +29,8 @@
 class Discovery:
     """One service with an address for each node, so that it is known who was told what, and when."""
 
-    def __init__(self, records: Records) -> None:
-        self._records = records
+    def __init__(self, records: Records, address: str) -> None:
+        self._records, self._address = records, address
         self.targets: dict[str, Target] = {}
         self.version = 1
         self.silent = False  # connections stand, and nothing is said on them
@@ -46,7 +46,7 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._serve(node, reader, writer)
 
-        server = await asyncio.start_server(serve, "127.0.0.1", self.ports.get(node, 0))
+        server = await asyncio.start_server(serve, self._address, self.ports.get(node, 0))
         self.ports[node], self._servers[node] = server.sockets[0].getsockname()[1], server
 
     def stop(self) -> None:
--- a/packages/faults/src/puffindeck_faults/hosts.py
+++ b/packages/faults/src/puffindeck_faults/hosts.py
@@ -26,10 +26,10 @@
 
 
 class Host:
-    """One host at a port of loopback."""
+    """One host, at an address of loopback."""
 
-    def __init__(self, name: str, records: Records) -> None:
-        self.name, self._records = name, records
+    def __init__(self, name: str, records: Records, address: str) -> None:
+        self.name, self._records, self._address = name, records, address
         self.behaviour = Behaviour.SERVE
         self.delay_s = 0.0  # before UP
         self.port = 0
@@ -39,7 +39,7 @@
 
     async def start(self) -> None:
         """Listen, at the same port as before once it has had one."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, backlog=512)
+        self._server = await asyncio.start_server(self._serve, self._address, self.port, backlog=512)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def die(self) -> None:
--- a/packages/faults/src/puffindeck_faults/machine.c
+++ b/packages/faults/src/puffindeck_faults/machine.c
@@ -4,6 +4,7 @@
  * process runs. Its layout is that of machine.py: 64-bit integers in the machine's byte order.
  */
 #define _GNU_SOURCE
+#include <dirent.h>
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -20,7 +21,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, SOCKET, CONNECT, SEND, RECV, EPOLL_WAIT, OPEN, WRITE, FSYNC, RENAME, CALLS };
+enum call { ACCEPT, SOCKET, CONNECT, SEND, RECV, EPOLL_WAIT, OPEN, WRITE, FSYNC, RENAME, UNLINK, LIST, CALLS };
 
 struct failure {
     int64_t error;     /* errno, 0: off */
@@ -37,6 +38,7 @@
     int64_t short_chance;
     int64_t pause_ns; /* before a send: held up between reading the clock and writing */
     int64_t pause_chance;
+    int64_t paused_at_ns; /* on the monotonic clock: at most one pause a second */
     int64_t kill_at_step; /* SIGKILL at the n-th step of writing files, 0: off */
     struct failure failures[CALLS];
 };
@@ -144,7 +146,13 @@
 }
 
 static void hold_up(void) {
-    if (control->pause_ns > 0 && drawn(control->pause_chance)) {
+    struct timespec now;
+    if (control->pause_ns == 0)
+        return;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    int64_t moment = (int64_t)now.tv_sec * 1000000000 + now.tv_nsec;
+    if (moment - control->paused_at_ns >= 1000000000 && drawn(control->pause_chance)) {
+        control->paused_at_ns = moment;
         struct timespec pause = {control->pause_ns / 1000000000, control->pause_ns % 1000000000};
         nanosleep(&pause, NULL);
     }
@@ -240,6 +248,31 @@
     return fails(WRITE) ? -1 : real(fd, data, shortened(length));
 }
 
+ssize_t pwrite64(int fd, const void *data, size_t length, off64_t offset) {
+    REAL(pwrite64);
+    if (file_below(fd)) {
+        step();
+        if (fails(WRITE))
+            return -1;
+    }
+    return real(fd, data, length, offset);
+}
+
+int unlink(const char *path) {
+    REAL(unlink);
+    if (below(path)) {
+        step();
+        if (fails(UNLINK))
+            return -1;
+    }
+    return real(path);
+}
+
+DIR *opendir(const char *path) {
+    REAL(opendir);
+    return below(path) && fails(LIST) ? NULL : real(path);
+}
+
 int fsync(int fd) {
     REAL(fsync);
     if (file_below(fd)) {
--- a/packages/faults/src/puffindeck_faults/machine.py
+++ b/packages/faults/src/puffindeck_faults/machine.py
@@ -1,8 +1,9 @@
 """Faults of the machine under one process: its wall clock, its system calls, its files.
 
 A small C library (`machine.c`) is loaded into the process with LD_PRELOAD. It maps a control file, through which
-faults are switched on and off while the process runs. Errors and their meaning are those of the Linux manual
-pages of each call (sections 2: accept, socket, connect, send, recv, epoll_wait, open, write, fsync, rename).
+faults are switched on and off while the process runs. Errors and their meaning are those of the Linux manual pages
+accept(2), socket(2), connect(2), send(2), recv(2), epoll_wait(2), open(2), write(2), fsync(2), rename(2), unlink(2)
+and opendir(3).
 """
 
 from __future__ import annotations
@@ -32,10 +33,12 @@
     SEND = 3
     RECV = 4
     EPOLL_WAIT = 5
-    OPEN = 6  # files of the folder only, like the three below
+    OPEN = 6  # files of the folder only, like all below
     WRITE = 7
     FSYNC = 8
     RENAME = 9
+    UNLINK = 10
+    LIST = 11
 
 
 class Field(IntEnum):
@@ -48,7 +51,8 @@
     SHORT_CHANCE = 4
     PAUSE_NS = 5
     PAUSE_CHANCE = 6
-    KILL_AT_STEP = 7
+    PAUSED_AT_NS = 7
+    KILL_AT_STEP = 8
 
 
 FAILURES = len(Field)  # where the calls' failures begin
@@ -130,7 +134,10 @@
         self._put(Field.SHORT_BYTES, most_bytes)
 
     def hold_up(self, pause_s: float, chance: float = 1.0) -> None:
-        """Before a send the process stands still for so many seconds, with a chance from 0 to 1; 0 s: off."""
+        """Before a send, once a second at most, the process stands still so long, with a chance from 0 to 1.
+
+        0 seconds: off.
+        """
         self._put(Field.PAUSE_CHANCE, round(chance * MILLION))
         self._put(Field.PAUSE_NS, round(pause_s * NANOSECONDS))
 
--- a/packages/faults/src/puffindeck_faults/node_process.py
+++ b/packages/faults/src/puffindeck_faults/node_process.py
@@ -18,14 +18,15 @@
 from puffindeck_faults.machine import Machine
 from puffindeck_faults.records import NodeLife, Records, now
 
+LOOPBACK = "127.0.0.1"
 READY_WITHIN_S = 20.0
 LONGEST_S, AFTER_S = 3.0, 0.7  # the kill comes the longest deadline (3 s at most) and this after SIGTERM
 
 
-def free_port() -> int:
-    """A TCP port of loopback that nobody has now."""
+def free_port(address: str = LOOPBACK) -> int:
+    """A TCP port of an address of loopback that nobody has now."""
     with socket.socket() as held:
-        held.bind(("127.0.0.1", 0))
+        held.bind((address, 0))
         return int(held.getsockname()[1])
 
 
@@ -52,12 +53,15 @@
 class NodeProcess:
     """One node: its file, its port, its machine, and one process after another."""
 
-    def __init__(self, name: str, folder: Path, records: Records, seed: int, sockets: int = 256) -> None:
+    def __init__(
+        self, name: str, folder: Path, records: Records, seed: int, sockets: int = 256, address: str = LOOPBACK
+    ) -> None:
         self.name, self._records, self._seed, self.sockets = name, records, seed, sockets
+        self._address = address
         self.folder = folder / name
         self.folder.mkdir(parents=True)
         (self.folder / "tmp").mkdir()
-        self.port, self.operator = free_port(), free_port()
+        self.port, self.operator = free_port(address), free_port(address)
         self.machine = Machine(self.folder, seed, self.folder / "tmp")
         self.config: dict[str, Any] = {}
         self.process: subprocess.Popen[bytes] | None = None
@@ -67,7 +71,7 @@
     def write_config(self, discovery: int, told: dict[str, Any]) -> None:
         """The file that it reads at its start and at SIGHUP."""
         self.config = {
-            "name": self.name, "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
+            "name": self.name, "listen": f"{self._address}:{self.port}", "discovery": f"{self._address}:{discovery}",
             "seed": f"{self._seed:x}", "limits": {"cores": 1.0, "memory_mb": 128, "sockets": self.sockets},
             "known": {"rev": 0, "all": True, "targets": []}, "settings": told,
         }
@@ -84,7 +88,7 @@
         self._lives += 1
         environment = {
             **os.environ, **self.machine.environment(), "EDGE_CONFIG": str(self.folder / "config.json"),
-            "EDGE_OPERATOR": f"127.0.0.1:{self.operator}", "TMPDIR": str(self.folder / "tmp"),
+            "EDGE_OPERATOR": f"{self._address}:{self.operator}", "TMPDIR": str(self.folder / "tmp"),
         }
         with (self.folder / f"log.{self._lives}").open("wb") as log:
             self.process = subprocess.Popen(
@@ -103,7 +107,7 @@
     async def ping(self) -> bool:
         """Does it say PONG?"""
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            reader, writer = await asyncio.open_connection(self._address, self.port)
         except OSError:
             return False
         try:
@@ -114,6 +118,21 @@
         finally:
             writer.close()
 
+    async def call(self, method: str, path: str) -> int:
+        """A call of staff's at the second address: its status, or 0 where there is no answer."""
+        try:
+            reader, writer = await asyncio.open_connection(self._address, self.operator)
+        except OSError:
+            return 0
+        try:
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: {self.name}\r\n\r\n".encode())
+            words = (await asyncio.wait_for(reader.readline(), 2)).split()
+            return int(words[1]) if len(words) > 1 else 0
+        except (OSError, TimeoutError):
+            return 0
+        finally:
+            writer.close()
+
     def log(self) -> str:
         """What all its processes have written."""
         return "".join(path.read_text() for path in sorted(self.folder.glob("log.*")))
--- a/packages/faults/src/puffindeck_faults/player.py
+++ b/packages/faults/src/puffindeck_faults/player.py
@@ -15,7 +15,7 @@
 from puffindeck_faults.hosts import Behaviour
 from puffindeck_faults.machine import Call
 from puffindeck_faults.node_process import NodeProcess
-from puffindeck_faults.records import now
+from puffindeck_faults.records import Detachment, now
 from puffindeck_faults.schedule import Fault, Kind, Schedule
 from puffindeck_faults.world import World
 
@@ -27,6 +27,11 @@
 JUNK = (b"OPEN 1 2 c=chat,d=12", b"\x00\xff\r\n", b"GET / HTTP/1.1\r\n\r\n", b"", b"PING\r\n", b"x" * 5000)
 
 
+def address_of(seed: int) -> str:
+    """An address of loopback of its own for each seed: runs side by side do not meet at a port."""
+    return f"127.77.{seed // 250 % 250}.{seed % 250 + 1}"
+
+
 class Player:
     """One run."""
 
@@ -36,7 +41,7 @@
         classes = (Class("chat", short, aim_ms=short // 4), Class("sync", long, aim_ms=long // 5))
         self.world = World(
             folder, schedule.nodes, schedule.hosts, classes, schedule.seed, schedule.sockets,
-            limits={"maxAttempts": schedule.max_attempts},
+            address=address_of(schedule.seed), limits={"maxAttempts": schedule.max_attempts},
         )
         self._random = Random(f"player/{schedule.seed}")
         self._busy: set[str] = set()  # nodes that are being restarted, hosts that are away
@@ -125,7 +130,7 @@
         machine = node.machine
         if fault.kind is Kind.CLOCK:
             machine.set_wall_clock(fault.amount)
-        elif fault.kind is Kind.CALL:
+        elif fault.kind in (Kind.CALL, Kind.DISK):
             name, error = fault.word.split()
             machine.fail(Call[name], getattr(errno, error), chance=fault.amount)
             await asyncio.sleep(fault.lasts_s)
@@ -135,7 +140,7 @@
             await asyncio.sleep(fault.lasts_s)
             machine.shorten(0)
         elif fault.kind is Kind.HOLD_UP:
-            machine.hold_up(fault.amount, 0.1)
+            machine.hold_up(fault.amount)
             await asyncio.sleep(fault.lasts_s)
             machine.hold_up(0)
         elif fault.kind is Kind.FREEZE:
@@ -144,6 +149,8 @@
             node.send_signal(signal.SIGCONT)
         elif fault.kind is Kind.RELOAD:
             await self._reload(fault, node)
+        elif fault.kind is Kind.DETACH:
+            await self._detach(fault, node)
         elif fault.kind in (Kind.RESTART, Kind.KILL):
             await self._restart(fault, node)
         else:
@@ -176,6 +183,24 @@
         await node.start()
         self._busy.discard(node.name)
 
+    async def _detach(self, fault: Fault, node: NodeProcess) -> None:
+        """A host is taken out at a node; the call back waits until the node's process is there."""
+        key = f"{node.name}/{fault.word}"
+        if key in self._busy or not self._takes(node):
+            return
+        self._busy.add(key)
+        word = Detachment(node.name, fault.word, now())
+        if await node.call("PUT", f"/_hosts/detach?member={fault.word}") == 200:
+            word.said_yes = now()
+        if node.life is not None and node.life.killed is None:  # who was killed before it said a word owes nothing
+            self.world.records.detachments.append(word)
+        await asyncio.sleep(fault.lasts_s)
+        while not self._takes(node) and not self._over:
+            await asyncio.sleep(0.05)
+        word.over = now()
+        await node.call("PUT", f"/_hosts/attach?member={fault.word}")
+        self._busy.discard(key)
+
     def _strangers(self, fault: Fault, node: NodeProcess) -> None:
         for _ in range(int(fault.amount)):
             text = b"" if fault.kind is Kind.CROWD else self._random.choice(JUNK)
--- a/packages/faults/src/puffindeck_faults/records.py
+++ b/packages/faults/src/puffindeck_faults/records.py
@@ -70,6 +70,17 @@
     written: dict[str, float] = field(default_factory=dict)  # by node
 
 
+@dataclass
+class Detachment:
+    """A host that staff took out at a node, from its call to the call back."""
+
+    node: str
+    host: str
+    asked: float
+    said_yes: float | None = None
+    over: float | None = None
+
+
 @dataclass
 class Records:
     """All of a run."""
@@ -78,6 +89,7 @@
     clients: list[ClientRecord] = field(default_factory=list)
     lives: list[NodeLife] = field(default_factory=list)
     changes: list[HostChange] = field(default_factory=list)
+    detachments: list[Detachment] = field(default_factory=list)
     unreachable: list[tuple[float, float]] = field(default_factory=list)  # spans in which discovery was down
     host_ends: dict[str, list[float]] = field(default_factory=dict)  # when hosts' processes died
     host_starts: dict[str, list[float]] = field(default_factory=dict)  # when they started cold
--- a/packages/faults/src/puffindeck_faults/schedule.py
+++ b/packages/faults/src/puffindeck_faults/schedule.py
@@ -28,6 +28,8 @@
     KILL = "kill"  # SIGKILL, and a start
     CROWD = "crowd"  # idle clients that fill the descriptors
     RUDE = "rude"  # clients that send what can't be read, or half a line
+    DISK = "disk"  # the node's folder fails
+    DETACH = "detach"  # staff take a host out at a node, and put it back
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -64,6 +66,7 @@
     "RECV": ("EINTR", "EAGAIN", "ENOMEM"),
     "EPOLL_WAIT": ("EINTR",),
 }
+DISK_ERRORS = ("OPEN ENOSPC", "OPEN EIO", "WRITE ENOSPC", "UNLINK EIO", "LIST EIO", "RENAME EIO")
 STEPS_S = (-HOUR_S, HOUR_S, -380.0, -20.0, -3.0, 3.0, 20.0, 380.0)
 BEHAVIOURS = ("HANG", "HANG", "ERROR", "FULL", "RESET", "CLOSE", "BYE")
 
@@ -107,6 +110,10 @@
         return Fault(at_s, kind, host, lasts_s=random.uniform(1.0, 4.0))
     if kind is Kind.RELOAD:
         return Fault(at_s, kind, node, random.choice(("same", "invalid", "moved")), random.randint(1, 5))
+    if kind is Kind.DISK:
+        return Fault(at_s, kind, node, random.choice(DISK_ERRORS), 1.0, random.uniform(0.2, 4.0))
+    if kind is Kind.DETACH:
+        return Fault(at_s, kind, node, host, lasts_s=random.uniform(2.0, 5.0))
     if kind is Kind.CROWD:
         return Fault(at_s, kind, node, amount=random.choice((40, 120, 300)), lasts_s=random.uniform(2.0, 6.0))
     if kind is Kind.RUDE:
--- a/packages/faults/src/puffindeck_faults/world.py
+++ b/packages/faults/src/puffindeck_faults/world.py
@@ -11,7 +11,7 @@
 from puffindeck_faults.clients import Class, Clients
 from puffindeck_faults.discovery import Discovery, Target
 from puffindeck_faults.hosts import Host
-from puffindeck_faults.node_process import NodeProcess, settings
+from puffindeck_faults.node_process import LOOPBACK, NodeProcess, settings
 from puffindeck_faults.records import Records, now
 
 CLASSES = (Class("chat", 1200), Class("sync", 2500, aim_ms=500))
@@ -22,17 +22,17 @@
 
     def __init__(
         self, folder: Path, nodes: int = 1, hosts: int = 3, classes: Sequence[Class] = CLASSES, seed: int = 1,
-        sockets: int = 256, **changes: Any,
+        sockets: int = 256, address: str = LOOPBACK, **changes: Any,
     ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self.folder, self.classes, self.seed = folder, classes, seed
+        self.folder, self.classes, self.seed, self._address = folder, classes, seed, address
         self.records = Records()
-        self.discovery = Discovery(self.records)
-        self.clients = Clients(self.records, seed)
+        self.discovery = Discovery(self.records, address)
+        self.clients = Clients(self.records, seed, address)
         self.settings = settings(classes, nodes, **changes)
-        self.hosts = {f"h{i}": Host(f"h{i}", self.records) for i in range(hosts)}
+        self.hosts = {f"h{i}": Host(f"h{i}", self.records, address) for i in range(hosts)}
         self.nodes = {
-            f"n{i}": NodeProcess(f"n{i}", folder, self.records, seed * 100 + i, sockets) for i in range(nodes)
+            f"n{i}": NodeProcess(f"n{i}", folder, self.records, seed * 100 + i, sockets, address) for i in range(nodes)
         }
 
     @property
@@ -61,7 +61,7 @@
     def target(self, name: str, state: str = "SERVING", started: bool = False) -> Target:
         """A host as the list has it; one that has started just now tells when, in Unix time."""
         boot_ms = round(time.time() * 1000) if started else 0
-        return Target(name, f"127.0.0.1:{self.hosts[name].port}", state=state, boot_ms=boot_ms)
+        return Target(name, f"{self._address}:{self.hosts[name].port}", state=state, boot_ms=boot_ms)
 
     async def until(self, met: Callable[[], Any], what: str, patience_s: float = 10.0) -> None:
         """Wait for something that only shows when it is looked for. Raises AssertionError."""
--- a/packages/faults/tests/test_checker.py
+++ b/packages/faults/tests/test_checker.py
@@ -6,7 +6,7 @@
 
 import pytest
 from puffindeck_faults.checker import Terms, check
-from puffindeck_faults.records import Attempt, ClientRecord, HostChange, NodeLife, Records
+from puffindeck_faults.records import Attempt, ClientRecord, Detachment, HostChange, NodeLife, Records
 
 TERMS = Terms(capacity=2.0)
 
@@ -75,6 +75,12 @@
     records.attempts.append(Attempt("h0", 11.7, "e", 11.7, 11.7, None, "", 11.8))
 
 
+def at_a_host_that_staff_took_out(records: Records) -> None:
+    records.detachments.append(Detachment("n0", "h1", 11.0, said_yes=11.1, over=20.0))
+    records.clients.append(ClientRecord("e", "n0", "chat", 1.0, connected=11.5, sent=11.6, answer="ERR", answered=11.8))
+    records.attempts.append(Attempt("h1", 11.7, "e", 11.7, 11.7, None, "", 11.8))
+
+
 def too_many_at_a_cold_host(records: Records) -> None:
     for number in range(9):
         name = f"f{number}"
@@ -110,7 +116,8 @@
 PLANTED: dict[Callable[[Records], None], str] = {
     no_answer: "lost", closed_unanswered: "lost", answered_late: "lost", another_receipt: "lost",
     strange_first_line: "lost", one_attempt_too_many: "attempts", second_copy: "duplicate",
-    begun_for_nobody: "lost", after_the_grace: "drain", too_many_at_a_cold_host: "failback", cut: "lost",
+    begun_for_nobody: "lost", after_the_grace: "drain", at_a_host_that_staff_took_out: "drain",
+    too_many_at_a_cold_host: "failback", cut: "lost",
     silent: "lost", not_ended_with_its_host: "lost", crash: "crash", slow_start_of_a_process: "ready",
     too_many_descriptors: "limit",
 }
