--- a/packages/fleet/src/puffindeck_fleet/gateway.py
+++ b/packages/fleet/src/puffindeck_fleet/gateway.py
@@ -12,7 +12,7 @@
 import puffindeck_quota.errors as quota_errors
 import puffindeck_residency.errors as residency_errors
 from puffindeck.core.clock import ms, span
-from puffindeck.core.deadlines import Deadline, Deadlines
+from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck_errors import OperatorError, described
 from puffindeck_membership import (
     Arrived,
@@ -67,7 +67,7 @@
     """
 
     def __init__(
-        self, reactor: Any, deadlines: Deadlines, name: str, told: Any, life: int, seed: int,
+        self, reactor: Any, deadlines: TimerQueue, name: str, told: Any, life: int, seed: int,
         ended: Callable[[OperatorError], None],
     ) -> None:
         self.deadlines, self.told, self.name, self.life = deadlines, told, name, life
--- a/packages/fleet/tests/test_keeping.py
+++ b/packages/fleet/tests/test_keeping.py
@@ -9,7 +9,7 @@
 from unittest.mock import patch
 
 from puffindeck.core.clock import Clock
-from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck_fleet.gateway import KEEP_AGAIN, Fleet
 from puffindeck_fleet.keeping import Keeper
 from twisted.internet.task import Clock as FakeTimers
@@ -36,7 +36,7 @@
 
 def test_an_incarnation_that_a_full_disk_refused_is_kept_once_there_is_room(tmp_path: Path) -> None:
     clock, timers = SetClock(), FakeTimers()
-    fleet = Fleet(None, Deadlines(clock, timers), "e1", Told(tmp_path), 1, 1, lambda error: None)
+    fleet = Fleet(None, TimerQueue(clock, timers), "e1", Told(tmp_path), 1, 1, lambda error: None)
     with patch.object(os, "fsync", side_effect=OSError(errno.ENOSPC, "No space left on device")):
         fleet._keep()
         fleet._keep()  # one call a while, and one line
--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -16,9 +16,9 @@
 from twisted.logger import Logger
 
 from puffindeck.core.clock import ZERO, ms, span
-from puffindeck.core.deadlines import Deadline, Deadlines
+from puffindeck.core.generational_arena import GenerationalArena
 from puffindeck.core.request_observer import Answer, Reason, RequestObserver, Unobserved
-from puffindeck.core.slots import Slots
+from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import (
     Action,
     Attached,
@@ -65,7 +65,7 @@
     def ceilings(self) -> dict[int, float]: ...
 
 
-class Ticket(NamedTuple):
+class AttemptId(NamedTuple):
     """An attempt: its request's number in the table, and its own among the request's."""
 
     request: int
@@ -88,7 +88,7 @@
     def waits(self) -> bool:
         """Is it still there, at this very moment? One that has left gets no further attempt."""
 
-    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
+    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> Link | None:
         """Start an attempt, whose first byte may go out until `begin`. None if it has ended already.
 
         Its end has then been told.
@@ -140,14 +140,14 @@
     """One gateway: its decision module and the requests it has taken."""
 
     def __init__(
-        self, balancer: Decisions, settings: Settings, deadlines: Deadlines, follow: Callable[[], None],
+        self, balancer: Decisions, settings: Settings, deadlines: TimerQueue, follow: Callable[[], None],
         observer: RequestObserver | None = None,
     ) -> None:
         self.balancer: Any = balancer
         self.observer: RequestObserver = observer or Unobserved()
         self.settings, self.deadlines, self.follow = settings, deadlines, follow
         self.clock = deadlines.clock
-        self.held: Slots[Held] = Slots()
+        self.held: GenerationalArena[Held] = GenerationalArena()
         self._events: deque[Event] = deque()
         self._busy = False
         self._unfit: dict[int, timedelta] = {}  # servers that drain or are gone, and since when that is known
@@ -264,15 +264,15 @@
         held.id = held.id or str(number)
         return number
 
-    def opened(self, client: Client, asked: Request, server: int) -> Ticket:
+    def opened(self, client: Client, asked: Request, server: int) -> AttemptId:
         """Take a connection that was open before the start. Its link is the front's to set up."""
         held = Held(client, asked.cls, self.clock.now(), 1, asked.id)
         held.number = number = self._hold(held)
         held.attempts, held.out, held.begun, held.answered, held.server = 1, True, True, True, server
         self.tell(Opened(number, server, asked.cls, 0, asked.hint, asked.group, asked.key))
-        return Ticket(number, 0)
+        return AttemptId(number, 0)
 
-    def linked(self, ticket: Ticket, link: Link) -> None:
+    def linked(self, ticket: AttemptId, link: Link) -> None:
         """The link of a connection that was open before the start is up."""
         held = self._current(ticket)
         if held is not None:
@@ -303,11 +303,11 @@
 
     # From the front: attempts and connections
 
-    def _current(self, ticket: Ticket) -> Held | None:
+    def _current(self, ticket: AttemptId) -> Held | None:
         held = self.held.get(ticket.request)
         return held if held is not None and held.out and ticket.attempt == held.attempts - 1 else None
 
-    def began(self, ticket: Ticket) -> bool:
+    def began(self, ticket: AttemptId) -> bool:
         """The connection stands. False if nobody waits for it any more."""
         held = self._current(ticket)
         if held is None or held.answered or held.link is None:
@@ -321,7 +321,7 @@
         self.tell(Began(ticket.request, held.server, took, ticket.attempt))
         return True
 
-    def ended(self, ticket: Ticket, outcome: Outcome) -> None:
+    def ended(self, ticket: AttemptId, outcome: Outcome) -> None:
         """An attempt, or the connection that it became, has ended. Told once; later word is ignored."""
         held = self._current(ticket)
         if held is None:
@@ -338,7 +338,7 @@
         self._settle(held)
         self.tell(Ended(ticket.request, outcome, held.server, ticket.attempt, held.answered, ms(took)))
 
-    def noted(self, ticket: Ticket, figure: float) -> None:
+    def noted(self, ticket: AttemptId, figure: float) -> None:
         """What a server tells of an open connection: the settings say whether load or a message's delay."""
         held = self._current(ticket)
         if held is None:
@@ -354,7 +354,7 @@
         held = self.held.get(action.request)
         if held is None:
             return
-        ticket = Ticket(action.request, held.attempts)
+        ticket = AttemptId(action.request, held.attempts)
         if held.answered or held.out or held.attempts >= held.most:
             held.attempts += not held.out
             self.tell(Ended(action.request, Outcome.MOOT, action.server, ticket.attempt, held.answered, 0.0))
@@ -376,12 +376,12 @@
         if self._current(ticket) is held:
             held.link = link
 
-    def _expired(self, ticket: Ticket) -> None:
+    def _expired(self, ticket: AttemptId) -> None:
         held = self._without_answer(ticket)
         if held is not None:
             self._cut(held, Outcome.TIMEOUT)
 
-    def _without_answer(self, ticket: Ticket) -> Held | None:
+    def _without_answer(self, ticket: AttemptId) -> Held | None:
         """The holder of an attempt that is out, if its server has indeed said nothing by this moment."""
         held = self._current(ticket)
         if held is not None and held.link is not None and not held.begun:
@@ -391,7 +391,7 @@
 
     def _cut(self, held: Held, outcome: Outcome) -> None:
         link = held.link
-        self.ended(Ticket(held.number, held.attempts - 1), outcome)
+        self.ended(AttemptId(held.number, held.attempts - 1), outcome)
         if link is not None:
             link.give_up()
 
@@ -437,7 +437,7 @@
             self._settle(held)
 
     def _cancel(self, action: Cancel) -> None:
-        held = self._without_answer(Ticket(action.request, action.attempt))
+        held = self._without_answer(AttemptId(action.request, action.attempt))
         if held is not None:
             self._cut(held, Outcome.CANCELLED)
 
@@ -448,7 +448,7 @@
         held = self.held.get(number)
         if held is not None and held.begun and held.out and held.client.move():
             self.observer.closed(held.id, why)
-            self.ended(Ticket(held.number, held.attempts - 1), Outcome.CANCELLED)
+            self.ended(AttemptId(held.number, held.attempts - 1), Outcome.CANCELLED)
 
     def _wake(self, action: Wake) -> None:
         self.deadlines.after(span(action.in_ms), self.tell, Woken(action.token))
--- a/puffindeck/core/slots.py
+++ b/puffindeck/core/generational_arena.py
@@ -9,7 +9,7 @@
 INDEX_BITS = 16  # slots at once; the rest of a number is its generation, so no number comes twice
 
 
-class Slots(Generic[T]):
+class GenerationalArena(Generic[T]):
     """A table of things by number. A number is a slot's index and the slot's generation."""
 
     def __init__(self) -> None:
--- a/puffindeck/core/deadlines.py
+++ b/puffindeck/core/timer_queue.py
@@ -39,7 +39,7 @@
         self.args = args
 
 
-class Deadlines:
+class TimerQueue:
     """A heap of deadlines. One taken back stays until its time, or until most of the heap is such."""
 
     def __init__(self, clock: Clock, timers: Timers) -> None:
--- a/puffindeck/net/staffing.py
+++ b/puffindeck/net/admin.py
@@ -16,7 +16,7 @@
 POLL = span(100)  # how often it is looked for what staff told another process
 
 
-class Staffing(Parts):
+class Admin(Parts):
     """Hosts out of use by staff's word, whichever process was told."""
 
     def why_not_ready(self) -> str:
--- a/puffindeck/net/door.py
+++ b/puffindeck/net/admission.py
@@ -15,21 +15,21 @@
 SPARE = 40  # descriptors for the log, the reactor, discovery, a turn's accepts and closes under way
 
 
-class Guest(Protocol):
+class WaitingClient(Protocol):
     """A client's connection, as the door sees it."""
 
-    def put_out(self) -> None:
+    def evict(self) -> None:
         """Close at once, with nothing more to say."""
 
 
-class Door:
+class AdmissionControl:
     """The clients at the door, oldest first, and the descriptors in use."""
 
     def __init__(self, sockets: int, reserved: int = 0, used: Callable[[], int] = lambda: 0) -> None:
-        self.waiting: dict[Guest, None] = {}  # accepted, with no whole line yet
-        self.idle: dict[Guest, None] = {}  # told PONG, with nothing since
-        self.leaving: dict[Guest, None] = {}  # answered
-        self._put_out: set[Guest] = set()  # their descriptors are free within a turn of the reactor
+        self.waiting: dict[WaitingClient, None] = {}  # accepted, with no whole line yet
+        self.idle: dict[WaitingClient, None] = {}  # told PONG, with nothing since
+        self.leaving: dict[WaitingClient, None] = {}  # answered
+        self._evicted: set[WaitingClient] = set()  # their descriptors are free within a turn of the reactor
         self._making_room = False
         self._used = used  # by clients that are served, and hosts
         self._reserved, self.others = SPARE + reserved, 0
@@ -48,7 +48,7 @@
         self.least = max(8, self.sockets // PART)
 
     def __len__(self) -> int:
-        return self._held() + len(self._put_out)
+        return self._held() + len(self._evicted)
 
     def _held(self) -> int:
         return len(self.waiting) + len(self.idle) + len(self.leaving)
@@ -57,26 +57,26 @@
         """Is there no room to serve one more?"""
         return self._used() + self.least + self._reserved > self.sockets
 
-    def comes(self, client: Guest) -> None:
+    def comes(self, client: WaitingClient) -> None:
         self._put(client, self.waiting)
 
-    def rests(self, client: Guest) -> None:
+    def rests(self, client: WaitingClient) -> None:
         """It knows that this node is ready, or not; usual clients ask for more than that."""
         self._put(client, self.idle)
 
-    def leaves(self, client: Guest) -> None:
+    def leaves(self, client: WaitingClient) -> None:
         self._put(client, self.leaving)
 
-    def asks(self, client: Guest) -> None:
+    def asks(self, client: WaitingClient) -> None:
         self.gone(client)
         self._make_room()
 
-    def gone(self, client: Guest) -> None:
+    def gone(self, client: WaitingClient) -> None:
         for table in (self.waiting, self.idle, self.leaving):
             table.pop(client, None)
-        self._put_out.discard(client)
+        self._evicted.discard(client)
 
-    def _put(self, client: Guest, table: dict[Guest, None]) -> None:
+    def _put(self, client: WaitingClient, table: dict[WaitingClient, None]) -> None:
         self.gone(client)
         table[client] = None
         self._make_room()
@@ -88,21 +88,21 @@
         self._making_room = True
         try:
             while self._held() > self._most():
-                self._put_out_oldest()
+                self._evict_oldest()
         finally:
             self._making_room = False
 
-    def _put_out_oldest(self) -> None:
+    def _evict_oldest(self) -> None:
         table = self.idle or max(self.leaving, self.waiting, key=len)
         oldest = next(iter(table))
         del table[oldest]
-        self._put_out.add(oldest)
-        oldest.put_out()
+        self._evicted.add(oldest)
+        oldest.evict()
 
     def free_one(self) -> None:
         """The system has no descriptor left, whatever was reckoned: one who asks nothing gives up its own."""
         if self._held() and not self._making_room:
-            self._put_out_oldest()
+            self._evict_oldest()
 
     def _most(self) -> int:
         return max(self.least, self.sockets - self._reserved - self._used() - NEXT)
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -10,15 +10,15 @@
 from puffindeck.core.engine import Request
 from puffindeck.core.request_observer import Answer, Reason
 from puffindeck.interface import Facts, Outcome
-from puffindeck.net.closing import flush, take_in
-from puffindeck.net.heads import CRLF, Head, HeadError
-from puffindeck.net.trying import Trying
-from puffindeck.net.visitor import FIRST_LINE, OVER, SERVED, UNASKED, Phase
+from puffindeck.net.client_connection import FIRST_LINE, OVER, SERVED, UNASKED, ConnectionState
+from puffindeck.net.closing import drain_receive_buffer, flush
+from puffindeck.net.request_line import CRLF, RequestLine, RequestLineError
+from puffindeck.net.upstream_attempts import UpstreamAttempts
 
 log = Logger("puffindeck")
 
 
-class ClientLine(Trying):
+class ClientLine(UpstreamAttempts):
     """One client. Its request stands in the engine's table; its link, once there is one, is its host's."""
 
     _questions = 0  # that wait for their answer
@@ -26,7 +26,7 @@
     # The first line
 
     def lineReceived(self, line: bytes) -> None:
-        if self.phase not in UNASKED:
+        if self.state not in UNASKED:
             return
         more = self.clearLineBuffer()
         if line == b"PING" and not more:
@@ -34,14 +34,14 @@
             return
         try:
             if more:  # a client waits for its answer before it sends anything else
-                raise HeadError("more than one line")
-            head = Head(line)
+                raise RequestLineError("more than one line")
+            head = RequestLine(line)
             cls = self.node.classes.get(head.cls)
             if cls is None:
-                raise HeadError(f"class {head.cls[:40]!r} is not known")
+                raise RequestLineError(f"class {head.cls[:40]!r} is not known")
             if head.id in self.node.open_ids:  # hosts would take the one for the other
-                raise HeadError("the id of an open request")
-        except HeadError as error:
+                raise RequestLineError("the id of an open request")
+        except RequestLineError as error:
             self._turn_away(str(error))
             return
         self._ask(head, cls)
@@ -49,26 +49,26 @@
     def _inquire(self) -> None:
         """It stays at the door, and may be put out for room: before readiness nobody is served yet."""
         self._questions += 1
-        if self.become(Phase.INQUIRES):
+        if self.transition_to(ConnectionState.ASKING_READINESS):
             self.deadlines.cancel(self._patience)
             self.node.when_ready(self.pong)
 
     def pong(self, ready: bool) -> None:
         """Whether this node serves is known, and told as often as it was asked."""
-        if self.become(Phase.RESTS):
+        if self.transition_to(ConnectionState.IDLE):
             answer = (b"PONG" if ready else b"BUSY") + CRLF
             questions, self._questions = self._questions, 0
             self.transport.write(answer * questions)
             flush(self.transport)
             self._wait(FIRST_LINE)
-            self.node.door.rests(self)
+            self.node.admission.rests(self)
 
-    def _ask(self, head: Head, cls: int) -> None:
-        self.become(Phase.ASKS)
+    def _ask(self, head: RequestLine, cls: int) -> None:
+        self.transition_to(ConnectionState.WAITING)
         self._head = head
         self.node.open_ids.add(head.id)
         self.deadlines.cancel(self._patience)
-        self.node.door.asks(self)
+        self.node.admission.asks(self)
         self.setRawMode()
         left = head.left or ZERO
         told = self.node.told
@@ -79,7 +79,7 @@
         elif self.node.shut or self.node.crowded():
             why = Reason.STOPPING if self.node.shut else Reason.NO_ROOM
             self.node.request_log.answered(asked.id, Answer.REFUSED, why)
-            self.refuse(self.node.come_back())
+            self.refuse(self.node.retry_after())
         else:
             self.request = self.engine.request(self, asked)
 
@@ -92,23 +92,23 @@
         self._turn_away("over 4 KiB")
 
     def rawDataReceived(self, data: bytes) -> None:
-        if self.phase in SERVED and self.link is not None:
+        if self.state in SERVED and self.link is not None:
             self.link.send(data)
-        elif self.phase is Phase.ASKS:
+        elif self.state is ConnectionState.WAITING:
             if self._ticket is None:
                 self.engine.client_left(self.request)
             else:
                 self.engine.ended(self._ticket, Outcome.CANCELLED)
             self._turn_away("more than one line")
-        elif self.phase is Phase.ENDS:
+        elif self.state is ConnectionState.HALF_CLOSED:
             self._throw_away(data)
 
     # Its end
 
     def connectionLost(self, reason: Any = None) -> None:
-        before, self.phase = self.phase, Phase.GONE
+        before, self.state = self.state, ConnectionState.GONE
         self.node.clients.discard(self)
-        self.node.door.gone(self)
+        self.node.admission.gone(self)
         self.deadlines.cancel(self._patience)
         self.node.no_longer(self.pong)
         if before in OVER:
@@ -128,12 +128,12 @@
 
     def close_out(self, all_go: bool) -> None:
         """Time is up: whatever is left is answered or moved now, and who has asked nothing goes if all do."""
-        if self.phase in UNASKED and all_go:
-            take_in(self.transport)  # what has come by now is answered as any other
-            if self.phase in UNASKED:
+        if self.state in UNASKED and all_go:
+            drain_receive_buffer(self.transport)  # what has come by now is answered as any other
+            if self.state in UNASKED:
                 self._excuse()
-        if self.phase in SERVED:
+        if self.state in SERVED:
             self.engine.send_away(self.request)
             self._say_move()
-        elif self.phase is Phase.ASKS and not self._give_up_before():
+        elif self.state is ConnectionState.WAITING and not self._give_up_before():
             self.engine.dismiss(self.request)
--- a/puffindeck/net/closing.py
+++ b/puffindeck/net/closing.py
@@ -14,7 +14,7 @@
 from zope.interface import implementer
 
 from puffindeck.core.clock import span
-from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.net.machine_errors import NOT_NOW
 
 LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
@@ -26,7 +26,7 @@
         transport.doWrite()  # a failure shows again in the reactor's next turn, which ends the connection
 
 
-def take_in(transport: Any) -> None:
+def drain_receive_buffer(transport: Any) -> None:
     """Read what has come by now: what came before we end a connection is still owed an answer."""
     if transport.connected and not transport.disconnecting:
         transport.doRead()  # an end shows again in the reactor's next turn
@@ -39,7 +39,7 @@
     flush(transport)
 
 
-def has_left(transport: Any) -> bool:
+def peer_has_closed(transport: Any) -> bool:
     """Has the other side ended or broken the connection, though the reactor has not come to it yet?"""
     if not transport.connected:
         return True
@@ -49,7 +49,7 @@
         return error.errno not in NOT_NOW
 
 
-def close(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
+def close(transport: Any, deadlines: TimerQueue, connected: Callable[[], bool]) -> None:
     """End a connection with all that was written, or without it if the other side does not take it."""
     end_sending(transport)
     transport.loseConnection()
@@ -74,7 +74,7 @@
         """The transport is gone."""
 
 
-def break_off(transport: Any, deadlines: Deadlines, connected: Callable[[], bool]) -> None:
+def break_off(transport: Any, deadlines: TimerQueue, connected: Callable[[], bool]) -> None:
     """End a connection as a break ends one, but not before what was said has left: it may be the answer.
 
     A transport writes in a later turn of the reactor, and an abort throws away what it still holds.
--- a/puffindeck/net/discovery.py
+++ b/puffindeck/net/discovery.py
@@ -12,12 +12,12 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 
 from puffindeck.config import Members
-from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Engine
+from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import ListKind
 from puffindeck.net.listing import Endpoints, WatchLines, WholeList
-from puffindeck.roster.directory import Directory
-from puffindeck.roster.watch import (
+from puffindeck.service_discovery.directory import Directory
+from puffindeck.service_discovery.watch import (
     AGAIN,
     ANSWER,
     AT_ONCE,
@@ -42,7 +42,7 @@
     """
 
     def __init__(
-        self, reactor: Any, discovery: tuple[str, int], deadlines: Deadlines, directory: Directory,
+        self, reactor: Any, discovery: tuple[str, int], deadlines: TimerQueue, directory: Directory,
         engine: Engine, version: int | None, heard: Callable[[], None], pushed: bool,
     ) -> None:
         host, port = discovery
--- a/puffindeck/net/leaving.py
+++ b/puffindeck/net/graceful_shutdown.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.core.deadlines import Deadline
-from puffindeck.net.passing import HALF_LINE
+from puffindeck.core.timer_queue import Deadline
+from puffindeck.net.relay import HALF_LINE
 
 if TYPE_CHECKING:
     from puffindeck.net.parts import Parts
@@ -21,7 +21,7 @@
 LONGEST, AFTER, MARGIN = span(3000), span(700), span(400)
 
 
-class Pace(NamedTuple):
+class DrainSchedule(NamedTuple):
     """When what is done, from the beginning on."""
 
     accept: timedelta  # so long clients are served as before: the front still sends them
@@ -29,24 +29,24 @@
     send_over: timedelta  # spread over this long: all at once they would come back as a storm
     end: timedelta  # by when all is answered, and nothing is open
 
-    def before_kill(self, longest: timedelta) -> Pace:
+    def before_kill(self, longest: timedelta) -> DrainSchedule:
         """The same where the longest deadline is this: a short one leaves less time, and all is quicker."""
         end = min(self.end, min(longest, LONGEST) + AFTER - MARGIN)
         part = end / self.end
-        return Pace(min(self.accept, end), self.send_from * part, self.send_over * part, end)
+        return DrainSchedule(min(self.accept, end), self.send_from * part, self.send_over * part, end)
 
 
 # A connection is served until it is sent away, and other nodes may be stopping too or not be back yet: so at
 # a restart MOVEs go out as late as leaves time for the end. A lame duck's front has the other nodes.
-RESTART = Pace(accept=span(450), send_from=span(1800), send_over=span(1300), end=span(3300))
-UPGRADE = Pace(accept=span(1500), send_from=span(150), send_over=span(2900), end=span(3300))
-LAME = Pace(accept=span(450), send_from=span(500), send_over=span(2500), end=span(3250))
+RESTART = DrainSchedule(accept=span(450), send_from=span(1800), send_over=span(1300), end=span(3300))
+UPGRADE = DrainSchedule(accept=span(1500), send_from=span(150), send_over=span(2900), end=span(3300))
+DRAIN = DrainSchedule(accept=span(450), send_from=span(500), send_over=span(2500), end=span(3250))
 
 
-class Leaving:
+class GracefulShutdown:
     """Sends every client away at a pace. `done` is called once nobody is left, or it is time."""
 
-    def __init__(self, node: Parts, pace: Pace, done: Callable[[], None] | None) -> None:
+    def __init__(self, node: Parts, pace: DrainSchedule, done: Callable[[], None] | None) -> None:
         self._node, self._pace, self._done = node, pace, done
         self._deadlines, self._engine = node.deadlines, node.engine
         self.ends = done is not None  # else the node stays, a lame duck
--- a/puffindeck/net/listening.py
+++ b/puffindeck/net/listening.py
@@ -107,7 +107,7 @@
         if self.connected and not self.disconnecting:
             self.startReading()
 
-    def take_in(self) -> int:
+    def accept_all(self) -> int:
         """Accept all whose connections stand by now: a port that closes resets those. How many there were."""
         begun = self.sessionno
         for _ in range(ROUNDS):
--- a/puffindeck/net/listing.py
+++ b/puffindeck/net/listing.py
@@ -10,7 +10,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from puffindeck.roster.watch import MOST
+from puffindeck.service_discovery.watch import MOST
 
 
 @implementer(IAgentEndpointFactory)
--- a/puffindeck/net/logs.py
+++ b/puffindeck/net/logs.py
@@ -9,7 +9,7 @@
 from twisted.logger import LogEvent, Logger, LogLevel, eventAsText
 
 from puffindeck.core.clock import span
-from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.timer_queue import TimerQueue
 
 PERIOD = span(5000)
 LINES = 20  # of one kind in a period
@@ -50,7 +50,7 @@
     """Lines that strangers bring about at their own speed: some are written in a period, the rest counted."""
 
     def __init__(
-        self, log: Logger, deadlines: Deadlines, what: str, lines: int = LINES,
+        self, log: Logger, deadlines: TimerQueue, what: str, lines: int = LINES,
         level: str = "warn",
     ) -> None:
         self._log, self._deadlines, self._what = log, deadlines, what
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -14,13 +14,13 @@
 from puffindeck.config import Node as Told
 from puffindeck.core.clock import span
 from puffindeck.interface import ListKind, Settings
+from puffindeck.net.admin import Admin
 from puffindeck.net.client import ClientLine
 from puffindeck.net.discovery import Watch
+from puffindeck.net.graceful_shutdown import DRAIN, RESTART, UPGRADE, DrainSchedule, GracefulShutdown
 from puffindeck.net.joining import Joining
-from puffindeck.net.leaving import LAME, RESTART, UPGRADE, Leaving, Pace
 from puffindeck.net.listening import Port, adopt, listen
 from puffindeck.net.operator import CALLERS, Operator
-from puffindeck.net.staffing import Staffing
 from puffindeck.net.succession import Succession
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
 # an answer may come 2 s after; another one has gone unanswered since when it has waited this long.
 SWEEP = span(250)  # how often open connections are looked over
 SILENT = span(3250)
-COME_BACK = span(150)  # when a client refused by a node without room may come again
+RETRY_AFTER = span(150)  # when a client refused by a node without room may come again
 READ_AGAIN = span(500)  # how soon a file that the system could not read at a reload is tried again
 DROPPED = span(5000)  # how long a class that is dropped is served: its clients learn of it later
 
@@ -50,7 +50,7 @@
         return ClientLine(self.node, self.listener)
 
 
-class Node(Staffing, Succession, Joining):
+class Node(Admin, Succession, Joining):
     """The program's parts, joined."""
 
     def start(self) -> None:
@@ -80,12 +80,12 @@
             self.watch.start()
         self.deadlines.after(SWEEP, self._sweep)
         log.info("node {name}: listening on {host}:{port}, {count} descriptors", name=self.told.name,
-                 host=host, port=port, count=self.door.sockets)
+                 host=host, port=port, count=self.admission.sockets)
 
     def _listen(self, address: tuple[str, int], factory: ClientFactory) -> Port:
         """A port for clients. Where descriptors are short, one who asks nothing gives up its own."""
         opened = listen(self.reactor, address, factory, BACKLOG)
-        opened.on_blocked = self.door.free_one
+        opened.on_blocked = self.admission.free_one
         return opened
 
     def _hand_over(self) -> None:
@@ -143,7 +143,7 @@
             log.warn("reload: settings.evenness is taken up or given up at a restart only")
         if told.settings != before.settings:
             self._retune(told.settings)
-        self.door.limit(told.sockets)
+        self.admission.limit(told.sockets)
         self._rejoin()
         if told.discovery != before.discovery:
             # another service: its list is asked for whole, as its versions may say nothing of the old one's
@@ -185,7 +185,7 @@
             if self.told.inherited is not None and (self.leaving is None or not self.leaving.ends):
                 self._follow_up()
                 self.port = adopt(self.reactor, self.told.inherited, ClientFactory(self))
-                self.port.on_blocked = self.door.free_one
+                self.port.on_blocked = self.admission.free_one
                 self.generation.tell(self.leaving is None)
             log.info("node {name}: ready", name=self.told.name)
             self._tell_waiting()
@@ -205,15 +205,15 @@
 
     def crowded(self) -> bool:
         """Are there too few descriptors left for one more client and its host?"""
-        return self.door.full() or self.engine.held.full()
+        return self.admission.full() or self.engine.held.full()
 
     def _used(self) -> int:
         """The descriptors of those who are served, and of hosts."""
         flows = len(self.quic.flows) if self.quic is not None else 0
-        return len(self.clients) - len(self.door) + len(self.links) + flows
+        return len(self.clients) - len(self.admission) + len(self.links) + flows
 
-    def come_back(self) -> timedelta:
-        return COME_BACK
+    def retry_after(self) -> timedelta:
+        return RETRY_AFTER
 
     def _sweep(self) -> None:
         """Find the connections whose host no longer answers: the client is sent to another."""
@@ -229,15 +229,15 @@
 
     # What staff ask for
 
-    def lame(self) -> None:
+    def drain(self) -> None:
         """Send all clients away, and stay. Once it is under way, asking again changes nothing."""
         if self.leaving is None:
             log.info("node {name}: lame duck, {count} to move", name=self.told.name,
                      count=len(self.engine.standing()))
-            self.leaving = Leaving(self, LAME, None)
+            self.leaving = GracefulShutdown(self, DRAIN, None)
             self._tell_waiting()
 
-    def unlame(self) -> bool:
+    def undrain(self) -> bool:
         """Take clients again. False if it stops for good."""
         if self.leaving is not None:
             if self.leaving.ends:
@@ -258,7 +258,7 @@
         else:
             self._leave(RESTART)
 
-    def _leave(self, pace: Pace) -> None:
+    def _leave(self, pace: DrainSchedule) -> None:
         if self.leaving is not None:
             self.leaving.cancel()
         log.info("node {name}: stopping, {count} to move", name=self.told.name,
@@ -266,7 +266,7 @@
         if self.fleet is not None:
             self.fleet.leave()
         longest = span(max(c.deadline_ms for c in self.told.settings.classes))
-        self.leaving = Leaving(self, pace.before_kill(longest), self._stopped)
+        self.leaving = GracefulShutdown(self, pace.before_kill(longest), self._stopped)
         self._tell_waiting()
 
     def shut_door(self, for_good: bool) -> None:
@@ -286,7 +286,7 @@
         return [port for port in (self.port, *self.more_ports) if port is not None and port.connected]
 
     def shut_ports(self) -> bool:
-        came = sum(port.take_in() for port in self._ports()) if self.told.inherited is None else 0
+        came = sum(port.accept_all() for port in self._ports()) if self.told.inherited is None else 0
         blocked = any(port.blocked for port in self._ports())  # some still wait there
         late = self.leaving is not None and self.leaving.late
         if late or not (came or blocked):
--- a/puffindeck/net/operator.py
+++ b/puffindeck/net/operator.py
@@ -14,7 +14,7 @@
 from twisted.web import http
 
 from puffindeck.core.clock import span
-from puffindeck.core.deadlines import Deadlines
+from puffindeck.core.timer_queue import TimerQueue
 
 log = Logger("puffindeck")
 
@@ -37,9 +37,9 @@
 
     def unrecorded_because(self, host: str) -> str: ...
 
-    def lame(self) -> None: ...
+    def drain(self) -> None: ...
 
-    def unlame(self) -> bool: ...
+    def undrain(self) -> bool: ...
 
     def fleet_view(self) -> str: ...
 
@@ -99,10 +99,10 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         operator: Operator = self.factory
-        self._patience = operator.deadlines.after(PATIENCE, self.put_out)
+        self._patience = operator.deadlines.after(PATIENCE, self.evict)
         operator.comes(self)
 
-    def put_out(self) -> None:
+    def evict(self) -> None:
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Any = None) -> None:
@@ -117,7 +117,7 @@
     noisy = False
     protocol = Caller
 
-    def __init__(self, node: Staffed, deadlines: Deadlines) -> None:
+    def __init__(self, node: Staffed, deadlines: TimerQueue) -> None:
         self.node, self.deadlines = node, deadlines
         self.callers: dict[Caller, None] = {}
         self._calls: dict[bytes, tuple[bytes, Callable[[dict[bytes, list[bytes]]], Answer]]] = {
@@ -140,7 +140,7 @@
         if len(self.callers) > CALLERS:
             oldest = next(iter(self.callers))
             del self.callers[oldest]
-            oldest.put_out()
+            oldest.evict()
 
     def answer(self, method: bytes, path: bytes, args: dict[bytes, list[bytes]]) -> Answer:
         call = self._calls.get(path)
@@ -183,8 +183,8 @@
         return (http.OK, view) if view else (http.NOT_FOUND, "no: this instance is no member of a fleet")
 
     def _lame(self, _: dict[bytes, list[bytes]]) -> tuple[int, str]:
-        self.node.lame()
+        self.node.drain()
         return http.OK, "yes"
 
     def _unlame(self, _: dict[bytes, list[bytes]]) -> tuple[int, str]:
-        return (http.OK, "yes") if self.node.unlame() else (http.CONFLICT, "no: it stops")
+        return (http.OK, "yes") if self.node.undrain() else (http.CONFLICT, "no: it stops")
--- a/puffindeck/net/parts.py
+++ b/puffindeck/net/parts.py
@@ -11,16 +11,16 @@
 from puffindeck.choice import Balancer
 from puffindeck.config import Node as Told
 from puffindeck.core.clock import Clock, span
-from puffindeck.core.deadlines import Deadline, Deadlines
 from puffindeck.core.engine import Decisions, Engine
-from puffindeck.net.door import Door
+from puffindeck.core.timer_queue import Deadline, TimerQueue
+from puffindeck.net.admission import AdmissionControl
 from puffindeck.net.logs import Few
 from puffindeck.net.operator import CALLERS
 from puffindeck.net.records import Records
 from puffindeck.net.request_log import RequestLog
 from puffindeck.net.upgrade import Generation
 from puffindeck.net.wall_clock import WallClock
-from puffindeck.roster.directory import Directory
+from puffindeck.service_discovery.directory import Directory
 
 log = Logger("puffindeck")
 
@@ -45,7 +45,7 @@
     def __init__(self, reactor: Any, told: Told, clock: Clock) -> None:
         self.reactor, self.told = reactor, told
         settings = told.settings
-        self.deadlines = Deadlines(clock, reactor)
+        self.deadlines = TimerQueue(clock, reactor)
         self.directory = Directory(settings.zones, settings.kinds)
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}  # those served, and their numbers
         self.named = set(self.classes)  # less those that were dropped just now
@@ -62,11 +62,11 @@
         self.clients: set[Any] = set()  # ClientLine
         self.links: set[Any] = set()  # connections to hosts, those on their way out too
         self.open_ids: set[bytes] = set()  # of clients' requests, until they are answered or their end
-        self.door = Door(told.sockets, CALLERS if told.operator else 0, self._used)
+        self.admission = AdmissionControl(told.sockets, CALLERS if told.operator else 0, self._used)
         self.few = Few(log, self.deadlines, "client: first line can't be read")
         self.few_records = Few(log, self.deadlines, "staff: records can't be read")
         self.ready = self.shut = self.ended = False
-        self.leaving: Any = None  # Leaving
+        self.leaving: Any = None  # GracefulShutdown
         self._read_again: Deadline | None = None  # of a file that could not be read
         self._waiting: dict[Callable[[bool], None], None] = {}  # in the order in which they asked
         self.wall_clock = WallClock()
@@ -122,6 +122,6 @@
         """Are there too few descriptors left for one more client and its host?"""
         raise NotImplementedError
 
-    def come_back(self) -> timedelta:
+    def retry_after(self) -> timedelta:
         """When a client refused by a node without room may come again."""
         raise NotImplementedError
--- a/puffindeck/net/passing.py
+++ b/puffindeck/net/relay.py
@@ -8,10 +8,10 @@
 from puffindeck.core.engine import Link as CoreLink
 from puffindeck.core.request_observer import Reason
 from puffindeck.interface import Outcome
+from puffindeck.net.client_connection import OVER, SERVED, ClientConnection, ConnectionState
 from puffindeck.net.closing import break_off, flush
-from puffindeck.net.heads import CRLF, MAX_LINE
-from puffindeck.net.host import Link
-from puffindeck.net.visitor import OVER, SERVED, Phase, Visitor
+from puffindeck.net.request_line import CRLF, MAX_LINE
+from puffindeck.net.upstream_connection import Link
 
 log = Logger("puffindeck")
 
@@ -19,7 +19,7 @@
 HALF_LINE = span(700)
 
 
-class Passing(Visitor):
+class Relay(ClientConnection):
     """A client and its host, joined."""
 
     _line_open = False  # the client has the start of a host's line, and not its end
@@ -28,14 +28,14 @@
     def began(self, link: CoreLink) -> None:
         """Hand the host's own line back, then let all pass."""
         assert isinstance(link, Link)
-        if self.become(Phase.PASSES):
+        if self.transition_to(ConnectionState.RELAYING):
             self.link = link
             self.transport.writeSequence([link.receipt, CRLF])
             flush(self.transport)
 
     def ready_for(self, link: Link) -> None:
         """Join both sides: each is read only as fast as the other takes what it sends."""
-        if self.phase not in SERVED or link.line is None:
+        if self.state not in SERVED or link.line is None:
             return
         host = link.line.transport
         self.transport.registerProducer(host, True)
@@ -46,11 +46,11 @@
 
     def from_host(self, data: bytes) -> None:
         """Pass on what the host sends; a client that is to move gets no more than the line it is in."""
-        if self.phase is Phase.PASSES:
+        if self.state is ConnectionState.RELAYING:
             self._pass(data)
-        elif self.phase is Phase.HOLDS:
+        elif self.state is ConnectionState.HOLDING_LINE:
             self._pass_lines(data)
-        elif self.phase is Phase.MOVES:
+        elif self.state is ConnectionState.MOVING:
             end = data.find(b"\n") + 1
             self._pass(data[:end] if end else data)
             if end:
@@ -73,26 +73,26 @@
 
     def hold(self) -> None:
         """It is to be moved within HALF_LINE: no further line is begun that may not end till then."""
-        self.become(Phase.HOLDS)
+        self.transition_to(ConnectionState.HOLDING_LINE)
 
     def let_pass(self) -> None:
         """It is not to be moved after all, or its host has ended."""
-        if self.phase is Phase.HOLDS and self.become(Phase.PASSES):
+        if self.state is ConnectionState.HOLDING_LINE and self.transition_to(ConnectionState.RELAYING):
             tail, self._tail = self._tail, b""
             self._pass(tail)
 
     def host_ended(self, clean: bool) -> None:
         """End the client's side as the host ended its own."""
         self.let_pass()
-        if self.phase in SERVED:
+        if self.state in SERVED:
             self.log_close(Reason.SERVER_ENDED if clean else Reason.SERVER_BROKE)
-        if self.phase is Phase.MOVES:
+        if self.state is ConnectionState.MOVING:
             self._say_move()
         elif clean:
             self._finish()
-        elif self.become(Phase.BREAKS):
+        elif self.transition_to(ConnectionState.RESETTING):
             self._drop_id()
-            break_off(self.transport, self.deadlines, lambda: self.phase is not Phase.GONE)
+            break_off(self.transport, self.deadlines, lambda: self.state is not ConnectionState.GONE)
 
     def move(self) -> bool:
         """Send the client away between two lines: the one it is in the middle of passes to its end.
@@ -100,13 +100,13 @@
         One that does not end is found by its silence, or ended with this process.
         """
         if self._line_open and self.link is not None and not self.link.done:
-            self.become(Phase.MOVES)
+            self.transition_to(ConnectionState.MOVING)
         else:
             self._say_move()
         return True
 
     def _say_move(self) -> None:
-        if self.phase not in SERVED:
+        if self.state not in SERVED:
             return
         if self._line_open:  # a MOVE has no place there: it would be read as part of the line
             log.warn("client: ended in the middle of a line that its host did not end")
@@ -122,7 +122,7 @@
         In the middle of a line there is no place for one: then only the connection's end is in time.
         """
         link = self.link
-        if link is None or link.done or self.phase in OVER:
+        if link is None or link.done or self.state in OVER:
             return
         log.warn("host {host}: silent, its client is moved", host=link.host)
         self.log_close(Reason.SERVER_SILENT)
--- a/puffindeck/net/heads.py
+++ b/puffindeck/net/request_line.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from puffindeck.core.clock import ms, span
-from puffindeck.roster.keys import number
+from puffindeck.service_discovery.keys import number
 
 CRLF = b"\r\n"
 MAX_LINE = 4096 - len(CRLF)
@@ -14,11 +14,11 @@
 MOST = 1e12  # no figure is larger: one with no limit to its time says 4294967 ms
 
 
-class HeadError(ValueError):
+class RequestLineError(ValueError):
     """A line can't be read as a connection's first."""
 
 
-class Head:
+class RequestLine:
     """The parts of an OPEN line, as places in it."""
 
     __slots__ = ("_line", "_wait", "at", "cls", "group", "hint", "id", "key", "left", "returning")
@@ -26,9 +26,9 @@
     def __init__(self, line: bytes) -> None:
         words = line.split(b" ")
         if len(words) != 4 or words[0] != b"OPEN" or not words[1] or not words[2]:
-            raise HeadError("not OPEN, an id, a key and a list of values")
+            raise RequestLineError("not OPEN, an id, a key and a list of values")
         if not line.isascii() or any(byte < 32 for byte in line):
-            raise HeadError("a byte that is not plain text")
+            raise RequestLineError("a byte that is not plain text")
         self._line, self.id = line, words[1]
         self._wait: tuple[int, int] | None = None
         self.key, self.cls, self.at, self.group = number(words[2]), "", "", 0
@@ -38,10 +38,10 @@
         for item in words[3].split(b","):
             name, equals, value = item.partition(b"=")
             if not equals:
-                raise HeadError(f"a value without a name: {item[:40]!r}")
+                raise RequestLineError(f"a value without a name: {item[:40]!r}")
             if name == b"d":
                 if self._wait is not None:
-                    raise HeadError("d stands twice")
+                    raise RequestLineError("d stands twice")
                 self._wait = place + 2, place + len(item)
                 self.left = span(self._figure(name, value))
             elif name == b"c":
@@ -56,15 +56,15 @@
                 self.at = value.decode()
             place += len(item) + 1
         if not self.cls:
-            raise HeadError("no class (c)")
+            raise RequestLineError("no class (c)")
         if self._wait is None:
-            raise HeadError("no time (d)")
+            raise RequestLineError("no time (d)")
 
     @staticmethod
     def _figure(name: bytes, value: bytes) -> float:
         figure = float(value) if FIGURE.fullmatch(value) else MOST + 1
         if figure > MOST:
-            raise HeadError(f"{name.decode()} is no figure: {value[:40]!r}")
+            raise RequestLineError(f"{name.decode()} is no figure: {value[:40]!r}")
         return figure
 
     def parts(self, wait: timedelta) -> list[bytes]:
--- a/puffindeck/net/request_log.py
+++ b/puffindeck/net/request_log.py
@@ -8,8 +8,8 @@
 from twisted.logger import Logger
 
 from puffindeck.core.clock import ms
-from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.request_observer import Answer, Reason
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.interface import Outcome
 from puffindeck.net.logs import Few
 
@@ -19,7 +19,7 @@
 class RequestLog:
     """Writes what the engine reports, a bounded number of lines of each kind."""
 
-    def __init__(self, log: Logger, deadlines: Deadlines, server_name: Callable[[int], str]) -> None:
+    def __init__(self, log: Logger, deadlines: TimerQueue, server_name: Callable[[int], str]) -> None:
         self._server_name = server_name
 
         def few(what: str) -> Few:
--- a/puffindeck/net/succession.py
+++ b/puffindeck/net/succession.py
@@ -57,9 +57,9 @@
         """Is a newer process ready? The descriptors are shared with whatever other there is."""
         try:
             others = self.generation.others()
-            if others or self.door.others:
+            if others or self.admission.others:
                 self.generation.tell(self.ready and self.leaving is None)
-                self.door.share(sum(other.descriptors for other in others))
+                self.admission.share(sum(other.descriptors for other in others))
         except OSError as error:
             self.few_records.write("upgrade: locks can't be read: {error}", error=error)
             return False
--- a/puffindeck/net/trying.py
+++ b/puffindeck/net/upstream_attempts.py
@@ -7,22 +7,22 @@
 from twisted.logger import Logger
 
 from puffindeck.core.clock import ZERO, span
+from puffindeck.core.engine import AttemptId, Request
 from puffindeck.core.engine import Link as CoreLink
-from puffindeck.core.engine import Request, Ticket
 from puffindeck.interface import Outcome
-from puffindeck.net.host import Link
-from puffindeck.net.passing import Passing
-from puffindeck.net.visitor import Phase
+from puffindeck.net.client_connection import ConnectionState
+from puffindeck.net.relay import Relay
+from puffindeck.net.upstream_connection import Link
 
 log = Logger("puffindeck")
 
 AT_WAIT, AT_TRY = span(40000), span(300)  # how long, how often it is tried
 
 
-class Trying(Passing):
+class UpstreamAttempts(Relay):
     """A client that waits for a host: for one that the engine names, or for that which it had before."""
 
-    _ticket: Ticket | None = None
+    _ticket: AttemptId | None = None
     _server = 0
     _until: timedelta = ZERO
 
@@ -35,7 +35,7 @@
 
     def _try_at(self) -> None:
         """As often as it takes."""
-        if self.phase is not Phase.ASKS or self._ticket is None or self._head is None:
+        if self.state is not ConnectionState.WAITING or self._ticket is None or self._head is None:
             return
         host = self.node.directory.name(self._server)
         if self.deadlines.clock.now() >= self._until:
@@ -52,7 +52,7 @@
         self.engine.linked(self._ticket, link)
         self._connect(link, address)
 
-    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> CoreLink | None:
+    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> CoreLink | None:
         """Start an attempt at a host."""
         assert self._head is not None
         address = self.node.directory.addresses.get(server)
@@ -75,10 +75,10 @@
         if self._ticket is None:
             return self.engine.began(link.ticket)
         self.began(link)
-        return self.phase is Phase.PASSES
+        return self.state is ConnectionState.RELAYING
 
     def link_ended(self, link: Link, outcome: Outcome) -> None:
-        if self._ticket is not None and self.phase is Phase.ASKS:
+        if self._ticket is not None and self.state is ConnectionState.WAITING:
             self.deadlines.after(AT_TRY, self._try_at)
         else:
             self.engine.ended(link.ticket, outcome)
@@ -88,5 +88,5 @@
         if self._ticket is None:
             return False
         self.engine.client_left(self.request)
-        self.refuse(self.node.come_back())
+        self.refuse(self.node.retry_after())
         return True
--- a/puffindeck/net/host.py
+++ b/puffindeck/net/upstream_connection.py
@@ -13,12 +13,12 @@
 from zope.interface import implementer
 
 from puffindeck.core.clock import ZERO
-from puffindeck.core.deadlines import Deadline, Deadlines
-from puffindeck.core.engine import Engine, Ticket
+from puffindeck.core.engine import AttemptId, Engine
+from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import Outcome
-from puffindeck.net.closing import close, flush, take_in
-from puffindeck.net.heads import CRLF, MAX_LINE, Head
+from puffindeck.net.closing import close, drain_receive_buffer, flush
 from puffindeck.net.machine_errors import NO_RESOURCE, errno_of
+from puffindeck.net.request_line import CRLF, MAX_LINE, RequestLine
 from puffindeck.net.transports import Connector
 
 log = Logger("puffindeck")
@@ -109,8 +109,9 @@
     noisy = False
 
     def __init__(
-        self, client: Waiting, engine: Engine, deadlines: Deadlines, ticket: Ticket, server: int, host: str,
-        head: Head, until: timedelta, begin: timedelta,
+        self, client: Waiting, engine: Engine, deadlines: TimerQueue, ticket: AttemptId, server: int,
+        host: str,
+        head: RequestLine, until: timedelta, begin: timedelta,
     ) -> None:
         self.client, self.engine, self.deadlines = client, engine, deadlines
         self.ticket, self.server, self.host = ticket, server, host
@@ -265,7 +266,7 @@
     def look(self) -> None:
         """Take in what the host has said by now."""
         if self.line is not None and self.written and not self.client.held_up():
-            take_in(self.line.transport)
+            drain_receive_buffer(self.line.transport)
 
     def abort(self) -> None:
         """End it as a broken connection ends."""
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -21,15 +21,15 @@
 
 from puffindeck.config import Quic
 from puffindeck.core.clock import ZERO, ms, span
-from puffindeck.core.deadlines import Deadlines
-from puffindeck.core.engine import Engine, Link, Request, Ticket
-from puffindeck.core.slots import Slots
+from puffindeck.core.engine import AttemptId, Engine, Link, Request
+from puffindeck.core.generational_arena import GenerationalArena
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.interface import Facts, Outcome
 from puffindeck.quic import packets
 from puffindeck.quic.ids import Ids
 from puffindeck.quic.packets import Kind, Packet
-from puffindeck.roster.directory import Directory
-from puffindeck.roster.keys import number
+from puffindeck.service_discovery.directory import Directory
+from puffindeck.service_discovery.keys import number
 
 log = Logger("puffindeck")
 
@@ -71,7 +71,7 @@
 class BoxLink:
     """A flow's way to a box: an attempt first, then what its datagrams pass over."""
 
-    def __init__(self, flow: Flow, ticket: Ticket, server: int) -> None:
+    def __init__(self, flow: Flow, ticket: AttemptId, server: int) -> None:
         self.flow, self.ticket, self.server = flow, ticket, server
         self.done = False
         self._port: Any = None
@@ -144,7 +144,7 @@
         """Is it still there to be served?"""
         return not self._over
 
-    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
+    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> Link | None:
         link = BoxLink(self, ticket, server)
         address = self.front.directory.addresses.get(server)
         if address is None or not self.front.engine.may_reach(server):
@@ -267,12 +267,12 @@
     noisy = False
     transport: Any = None
 
-    def __init__(self, reactor: Any, told: Quic, engine: Engine, deadlines: Deadlines, directory: Directory,
+    def __init__(self, reactor: Any, told: Quic, engine: Engine, deadlines: TimerQueue, directory: Directory,
                  stopping: Callable[[], bool]) -> None:
         self.reactor, self.told, self.engine, self.deadlines = reactor, told, engine, deadlines
         self.directory, self._stopping = directory, stopping
         self.ids = Ids(told.config_id, told.server_id_length, told.nonce_length, told.key)
-        self.flows: Slots[Flow] = Slots()
+        self.flows: GenerationalArena[Flow] = GenerationalArena()
         self.idle, self.silent = told.idle, told.silent
         self.dropped: Counter[str] = Counter()
         self._reported = 0
--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -10,7 +10,7 @@
 from grpc.aio import AioRpcError, Metadata
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.core.engine import Ticket
+from puffindeck.core.engine import AttemptId
 from puffindeck.interface import Outcome
 from puffindeck.rpc import outcomes
 from puffindeck.rpc.status import MOVED, PUSHBACK, Final
@@ -30,7 +30,7 @@
                  "_ticket", "_until", "inner", "response")
 
     def __init__(
-        self, call: BalancedCall, ticket: Ticket, server: int, address: tuple[str, int], until: timedelta
+        self, call: BalancedCall, ticket: AttemptId, server: int, address: tuple[str, int], until: timedelta
     ) -> None:
         self._call, self._ticket, self._server, self._until = call, ticket, server, until
         self._engine, self._address = call.shared.engine, address
--- a/puffindeck/rpc/calls.py
+++ b/puffindeck/rpc/calls.py
@@ -12,14 +12,14 @@
 from grpc.aio import EOF, AioRpcError, Metadata
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.core.engine import Link, Request, Ticket
+from puffindeck.core.engine import AttemptId, Link, Request
 from puffindeck.interface import Facts, Outcome
-from puffindeck.roster.keys import number
 from puffindeck.rpc.attempt import NOTHING, Attempt
 from puffindeck.rpc.replay import Replay
 from puffindeck.rpc.shared import Shared
 from puffindeck.rpc.status import CANCELLED, SENT_AWAY, SERVED, Final, failed, refused
 from puffindeck.rpc.subchannels import Method, Subchannel, Subchannels
+from puffindeck.service_discovery.keys import number
 
 MIXED = "The iterator and the write style can't be mixed: this call was given an iterator"
 FACTS = Facts(listener="rpc")  # what routes may go by, beside the class
@@ -102,7 +102,7 @@
         """Is it still there to be served?"""
         return self._final is None
 
-    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
+    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> Link | None:
         address = self.shared.directory.addresses.get(server)
         self._attempts += 1
         if address is None:
@@ -316,7 +316,7 @@
     def _commit(self) -> None:
         held = self.shared.engine.held.get(self._number)
         if held is not None and held.out:
-            self.shared.engine.began(Ticket(self._number, held.attempts - 1))
+            self.shared.engine.began(AttemptId(self._number, held.attempts - 1))
 
 
 class UnaryResponse(BalancedCall):
--- a/puffindeck/rpc/endpoint.py
+++ b/puffindeck/rpc/endpoint.py
@@ -22,11 +22,11 @@
 from puffindeck.choice import Balancer
 from puffindeck.config import Members, Target
 from puffindeck.core.clock import ZERO, Clock, ms, span
-from puffindeck.core.deadlines import Deadline, Deadlines
-from puffindeck.core.engine import Engine, Link, Request, Ticket
+from puffindeck.core.engine import AttemptId, Engine, Link, Request
+from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import ListKind, Outcome, Settings
-from puffindeck.roster.directory import Directory
-from puffindeck.roster.keys import number
+from puffindeck.service_discovery.directory import Directory
+from puffindeck.service_discovery.keys import number
 
 log = Logger("puffindeck")
 
@@ -51,7 +51,7 @@
 
     def __init__(self, reactor: Any, settings: Settings, seed: int, clock: Clock | None = None) -> None:
         self.reactor, self.settings = reactor, settings
-        self.deadlines = Deadlines(clock or Clock(), reactor)
+        self.deadlines = TimerQueue(clock or Clock(), reactor)
         self.directory = Directory(settings.zones, settings.kinds)
         self.engine = Engine(Balancer(settings, seed), settings, self.deadlines, self._follow)
         self._asked: Callable[[], None] = lambda: None
@@ -136,7 +136,7 @@
         """Is it still there to be served?"""
         return not self.answer.called
 
-    def open(self, ticket: Ticket, server: int, until: timedelta, begin: timedelta) -> Link | None:
+    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> Link | None:
         link = _Attempt(self, ticket, server)
         address = self.balancing.directory.addresses.get(server)
         if address is None:
@@ -188,7 +188,7 @@
 
     noisy = False
 
-    def __init__(self, connect: _Connect, ticket: Ticket, server: int) -> None:
+    def __init__(self, connect: _Connect, ticket: AttemptId, server: int) -> None:
         self._connect, self._ticket, self._server = connect, ticket, server
         self._engine, self._deadlines = connect.balancing.engine, connect.balancing.deadlines
         self.done = self.began = False
--- a/puffindeck/rpc/roster.py
+++ b/puffindeck/rpc/roster.py
@@ -14,8 +14,8 @@
 from puffindeck.config import Members
 from puffindeck.core.engine import Engine
 from puffindeck.interface import ListKind
-from puffindeck.roster.directory import Directory
-from puffindeck.roster.watch import ANSWER, MOST, SILENT, WatchError, WatchState, kind
+from puffindeck.service_discovery.directory import Directory
+from puffindeck.service_discovery.watch import ANSWER, MOST, SILENT, WatchError, WatchState, kind
 
 log = Logger("puffindeck")
 
--- a/puffindeck/rpc/shared.py
+++ b/puffindeck/rpc/shared.py
@@ -11,12 +11,12 @@
 
 from puffindeck.config.client import Client
 from puffindeck.core.clock import Clock, ms
-from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.engine import Engine
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.crowd import Member
 from puffindeck.interface import ListKind, Woken
-from puffindeck.roster.directory import Directory
 from puffindeck.rpc.roster import Roster
+from puffindeck.service_discovery.directory import Directory
 
 _OBSERVER: Any = STDLibLogObserver("puffindeck")  # a partner's process logs with the standard library
 
@@ -40,7 +40,7 @@
         self.loop = asyncio.get_running_loop()
         self.told, self._key, self.users = told, key, 0
         self.clock = Clock()
-        self.deadlines = Deadlines(self.clock, LoopTimers(self.loop))
+        self.deadlines = TimerQueue(self.clock, LoopTimers(self.loop))
         self.directory = Directory(told.settings.zones, told.settings.kinds)
         self.member = self._decisions()
         self.engine = Engine(self.member, told.settings, self.deadlines, self._follow)
--- a/puffindeck/rpc/subchannels.py
+++ b/puffindeck/rpc/subchannels.py
@@ -11,7 +11,7 @@
 import grpc
 from grpc import ChannelConnectivity as State
 
-from puffindeck.core.deadlines import Deadline, Deadlines
+from puffindeck.core.timer_queue import Deadline, TimerQueue
 
 # retries are the decision module's, and an attempt counts once however it was sent: the library sends nothing
 # again by itself; a server's channels share no back-off with another's, and a broken one is opened anew at
@@ -107,7 +107,7 @@
     """
 
     def __init__(
-        self, deadlines: Deadlines, most: int, idle: timedelta, credentials: grpc.ChannelCredentials | None,
+        self, deadlines: TimerQueue, most: int, idle: timedelta, credentials: grpc.ChannelCredentials | None,
         options: Sequence[tuple[str, Any]], compression: Any,
     ) -> None:
         self._deadlines, self._most, self._idle = deadlines, most, idle
--- a/puffindeck/roster/directory.py
+++ b/puffindeck/service_discovery/directory.py
@@ -11,7 +11,7 @@
 from puffindeck.config import ConfigError, Members, Target, address
 from puffindeck.core.clock import ms
 from puffindeck.interface import Entry, State
-from puffindeck.roster.start_times import StartTimes
+from puffindeck.service_discovery.start_times import StartTimes
 
 log = Logger("puffindeck")
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -12,7 +12,7 @@
 from twisted.internet.threads import deferToThread
 
 from puffindeck.net.client import ClientLine
-from puffindeck.net.visitor import Phase
+from puffindeck.net.client_connection import ConnectionState
 from tests.stories import SETTINGS, Peer, Story
 
 ASK = "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,d=1100"
@@ -56,7 +56,7 @@
         await self.until(lambda: self.node.ready, "readiness")
         plain, line = await self.met()
         plain.sendall(b"PING\r\n")
-        await self.until(lambda: line.phase is Phase.RESTS, "PONG")
+        await self.until(lambda: line.state is ConnectionState.IDLE, "PONG")
         return plain, line
 
     async def exactly(self, plain: socket.socket, count: int) -> bytes:
--- a/tests/rpc_world.py
+++ b/tests/rpc_world.py
@@ -18,8 +18,8 @@
 from puffindeck.crowd.even import owner
 from puffindeck.hashes import mixed
 from puffindeck.interface import ClassSettings, Effect, Settings
-from puffindeck.roster.keys import number
 from puffindeck.rpc.grpc import BalancedChannel
+from puffindeck.service_discovery.keys import number
 
 SERVICE = "exchange.Feed"
 SETTINGS = Settings(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,11 +8,11 @@
 from unittest.mock import patch
 
 from puffindeck.core.clock import span
-from puffindeck.core.engine import Ticket
+from puffindeck.core.engine import AttemptId
 from puffindeck.interface import ClientLeft, Effect, Ended, Outcome
-from puffindeck.net import host as host_module
-from puffindeck.net.host import HostLine, Link
-from puffindeck.net.visitor import Phase
+from puffindeck.net import upstream_connection
+from puffindeck.net.client_connection import ConnectionState
+from puffindeck.net.upstream_connection import HostLine, Link
 from tests.crossing import ASK, CHAT, CrossingStory
 
 
@@ -34,7 +34,7 @@
         plain, line = await self.met()
         plain.sendall(ASK.encode() + b"\r\n")
         plain.close()
-        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        await self.until(lambda: line.state is ConnectionState.GONE, "its end")
         self.assertFalse(self.node.links)
         self.assertFalse(self.reached())
         self.assertEqual(len(self.ends(ClientLeft)), 1)
@@ -46,7 +46,7 @@
             plain.sendall(ASK.encode() + b"\r\n")
             _, host = await self.host_of()
             await host.ended()
-        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        await self.until(lambda: line.state is ConnectionState.GONE, "its end")
         self.assertEqual(host.received, b"")
         self.assertEqual([e.outcome for e in self.ends(Ended)], [Outcome.CANCELLED])
         self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
@@ -74,7 +74,7 @@
         (link,) = self.node.links
         plain.close()
         link.finish(Outcome.ERROR)  # the host's word, in the turn in which the client's end has come
-        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        await self.until(lambda: line.state is ConnectionState.GONE, "its end")
         self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
 
     async def test_an_attempt_whose_time_is_over_when_its_connection_comes_up_is_not_begun(self) -> None:
@@ -121,14 +121,14 @@
         client, host = await self.hung(effect=Effect.UNSAFE)
         (line,) = self.node.clients
         host.transport.getHandle().send(b"UP r9\r\n")
-        self.node.engine._expired(Ticket(line.request, 0))
+        self.node.engine._expired(AttemptId(line.request, 0))
         self.assertEqual(await client.line(), b"UP r9")
-        self.assertIs(line.phase, Phase.PASSES)
+        self.assertIs(line.state, ConnectionState.RELAYING)
 
     async def test_an_attempt_without_an_answer_ends_with_its_deadline(self) -> None:
         client, host = await self.hung(effect=Effect.UNSAFE)
         (line,) = self.node.clients
-        self.node.engine._expired(Ticket(line.request, 0))
+        self.node.engine._expired(AttemptId(line.request, 0))
         self.assertEqual(await client.line(), b"ERR")
         self.assertEqual(await host.ended(), "ConnectionDone")
 
@@ -140,7 +140,7 @@
             self.node.engine.client_left(line.link.ticket.request)
 
         self.build()
-        with (patch.object(host_module, "flush", lambda transport: None),
+        with (patch.object(upstream_connection, "flush", lambda transport: None),
               patch.object(HostLine, "connectionMade", then)):
             await self.client(ASK)
             _, host = await self.host_of()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -47,7 +47,10 @@
     known = {line.split()[6] for line in Path(f"/proc/{pid}/net/unix").read_text().splitlines()[1:]}
     held = []
     for descriptor in Path(f"/proc/{pid}/fd").iterdir():
-        target = os.readlink(descriptor)
+        try:
+            target = os.readlink(descriptor)
+        except FileNotFoundError:  # closed since the folder was read
+            continue
         if target.startswith("socket:[") and target[8:-1] in known:
             held.append(target)
     return held
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,7 +19,7 @@
 from puffindeck.interface import Listed, ListKind
 from puffindeck.net import discovery
 from puffindeck.net.node import Node
-from puffindeck.roster.watch import WatchError, WatchState
+from puffindeck.service_discovery.watch import WatchError, WatchState
 from tests.stories import Peer, Story, reactor
 
 WHOLE = b"GET /catalog/members HTTP/1.1"
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -11,21 +11,21 @@
 from puffindeck.core.clock import span
 from puffindeck.interface import Effect, Scope
 from puffindeck.net import node as node_module
-from puffindeck.net.leaving import Leaving, Pace
-from puffindeck.net.visitor import Phase
+from puffindeck.net.client_connection import ConnectionState
+from puffindeck.net.graceful_shutdown import DrainSchedule, GracefulShutdown
 from tests.crossing import ASK, CrossingStory
 from tests.stories import Listener, reactor
 
-OVER_NOW = Pace(span(0), span(0), span(0), span(0))
-LONG = Pace(span(5000), span(5000), span(0), span(5000))
+OVER_NOW = DrainSchedule(span(0), span(0), span(0), span(0))
+LONG = DrainSchedule(span(5000), span(5000), span(0), span(5000))
 
 
 class StopStories(CrossingStory):
     """A node that ends."""
 
-    def leaving(self, pace: Pace = OVER_NOW) -> Leaving:
+    def leaving(self, pace: DrainSchedule = OVER_NOW) -> GracefulShutdown:
         done: list[int] = []
-        leaving = Leaving(self.node, pace, lambda: done.append(1))
+        leaving = GracefulShutdown(self.node, pace, lambda: done.append(1))
         self.node.leaving = leaving
         return leaving
 
@@ -90,9 +90,9 @@
         plain, line = await self.met()
         plain.sendall(b"PING\r\n")
         await self.until(lambda: self.node._waiting, "the question")
-        with patch.object(node_module, "RESTART", Pace(span(5000), span(5000), span(0), span(5000))):
+        with patch.object(node_module, "RESTART", DrainSchedule(span(5000), span(5000), span(0), span(5000))):
             self.node.stop()
-        self.assertIs(line.phase, Phase.RESTS)
+        self.assertIs(line.state, ConnectionState.IDLE)
         plain.shutdown(socket.SHUT_WR)
         self.assertEqual(await self.reads(plain), b"BUSY\r\n")
         self.node.leaving.cancel()
@@ -105,7 +105,7 @@
         host.write(b"half of a li")
         await self.until(lambda: client.left(b"half of a li"), "the half")
         self.node.engine.send_away(line.request)
-        self.assertIs(line.phase, Phase.MOVES)
+        self.assertIs(line.state, ConnectionState.MOVING)
         self.leaving()._look()
         self.assertEqual(await client.ended(), "ConnectionDone")
         self.assertTrue(client.left(b"half of a li"))
@@ -139,7 +139,7 @@
         self.build()
         client, _, host = await self.served(ASK)
         (line,) = self.node.clients
-        leaving = self.leaving(Pace(span(0), span(60000), span(0), span(60000)))
+        leaving = self.leaving(DrainSchedule(span(0), span(60000), span(0), span(60000)))
         line.hold()
         host.write(b"half")
         await self.until(lambda: line._tail, "the half")
@@ -152,11 +152,11 @@
         self.build()
         await self.served(ASK)
         (line,) = self.node.clients
-        leaving = self.leaving(Pace(span(0), span(600), span(0), span(60000)))
+        leaving = self.leaving(DrainSchedule(span(0), span(600), span(0), span(60000)))
         leaving._plan_moves()
-        await self.until(lambda: line.phase is Phase.HOLDS, "the hold")
+        await self.until(lambda: line.state is ConnectionState.HOLDING_LINE, "the hold")
         leaving.cancel()
-        self.assertIs(line.phase, Phase.PASSES)
+        self.assertIs(line.state, ConnectionState.RELAYING)
 
     async def test_a_second_stop_changes_nothing(self) -> None:
         self.build()
@@ -172,13 +172,13 @@
         client, _, host = await self.served(ASK)
         with (patch.object(self.node, "reactor", wraps=reactor) as program,
               patch.object(program, "stop") as stop,
-              patch.object(node_module, "LAME", LONG),
-              patch.object(node_module, "RESTART", Pace(span(0), span(0), span(20), span(3300)))):
-            self.node.lame()
+              patch.object(node_module, "DRAIN", LONG),
+              patch.object(node_module, "RESTART", DrainSchedule(span(0), span(0), span(20), span(3300)))):
+            self.node.drain()
             lame = self.node.leaving
             self.node.stop()
             self.assertTrue(self.node.leaving.ends)
-            self.assertFalse(self.node.unlame())  # there is no way back
+            self.assertFalse(self.node.undrain())  # there is no way back
             self.assertEqual(await client.line(), b"MOVE")
             await host.ended()
             await self.until(lambda: stop.called, "its end")
@@ -221,7 +221,7 @@
 
         with (patch.object(self.node, "reactor", wraps=reactor) as program,
               patch.object(program, "stop") as stop,
-              patch.object(node_module, "RESTART", Pace(span(0), span(20), span(20), span(3300)))):
+              patch.object(node_module, "RESTART", DrainSchedule(span(0), span(20), span(20), span(3300)))):
             self.node.reload(read)
             call = await other.next()
             self.assertEqual(await client.line(), b"MOVE")
@@ -233,7 +233,7 @@
         self.build()
         fresh = node_module.Node(reactor, self.node.told, self.node.deadlines.clock)
         with (patch.object(fresh, "reactor", wraps=reactor) as program, patch.object(program, "stop") as stop,
-              patch.object(node_module, "RESTART", Pace(span(0), span(0), span(0), span(10)))):
+              patch.object(node_module, "RESTART", DrainSchedule(span(0), span(0), span(0), span(10)))):
             fresh.stop()
             await self.until(lambda: stop.called, "its end")
         self.assertIsNone(fresh.port)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.net.leaving import RESTART, UPGRADE
+from puffindeck.net.graceful_shutdown import RESTART, UPGRADE
 from tests.stories import SETTINGS, Story, reactor
 from tests.test_node import ASK
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -9,8 +9,8 @@
 from puffindeck.interface import Ended, Outcome
 from puffindeck.net import node as node_module
 from puffindeck.net.client import ClientLine
-from puffindeck.net.visitor import NEXT, OVER, Phase
-from puffindeck.roster.watch import ANSWER
+from puffindeck.net.client_connection import NEXT, OVER, ConnectionState
+from puffindeck.service_discovery.watch import ANSWER
 from tests.crossing import ASK, CrossingStory
 
 
@@ -22,11 +22,11 @@
         plain, line = await self.resting()
         plain.sendall(ASK.encode() + b"\r\n")
         line._idle()
-        self.assertIs(line.phase, Phase.ASKS)
+        self.assertIs(line.state, ConnectionState.WAITING)
         _, host = await self.host_of()
         await host.line()
         host.write(b"UP r\r\n")
-        await self.until(lambda: line.phase is Phase.PASSES, "UP")
+        await self.until(lambda: line.state is ConnectionState.RELAYING, "UP")
 
     async def test_a_request_that_comes_after_the_end_has_an_answer_and_is_not_sent_on(self) -> None:
         self.build()
@@ -36,7 +36,7 @@
         text = await self.reads(plain)
         self.assertRegex(text, rb"^PONG\r\nBUSY \d+\r\n$")
         plain.close()
-        await self.until(lambda: line.phase is Phase.GONE, "the end")
+        await self.until(lambda: line.state is ConnectionState.GONE, "the end")
         self.assertFalse(self.reached())
 
     async def test_who_is_put_out_for_room_and_has_asked_is_served_and_else_told_busy(self) -> None:
@@ -44,18 +44,18 @@
         asked, its = await self.met()
         silent, other = await self.met()
         asked.sendall(ASK.encode() + b"\r\n")
-        its.put_out()
-        other.put_out()
-        self.assertIs(its.phase, Phase.ASKS)
-        self.assertIs(other.phase, Phase.GONE)  # its descriptor is free at once
+        its.evict()
+        other.evict()
+        self.assertIs(its.state, ConnectionState.WAITING)
+        self.assertIs(other.state, ConnectionState.GONE)  # its descriptor is free at once
         self.assertRegex(await self.reads(silent), rb"^BUSY \d+\r\n$")
 
     async def test_an_answer_leaves_whole_though_room_is_needed_in_the_same_turn(self) -> None:
         self.build()
         plain, line = await self.met()
-        with patch.object(self.node.door, "leaves", lambda client: client.put_out()):
+        with patch.object(self.node.admission, "leaves", lambda client: client.evict()):
             line.fail()
-        self.assertIs(line.phase, Phase.GONE)
+        self.assertIs(line.state, ConnectionState.GONE)
         self.assertEqual(await self.reads(plain), b"ERR\r\n")
 
     async def test_half_a_line_at_the_end_is_answered(self) -> None:
@@ -84,7 +84,7 @@
     async def asking(self) -> tuple[socket.socket, ClientLine]:
         plain, line = await self.met()
         plain.sendall(b"PING\r\n")
-        await self.until(lambda: line.phase is Phase.INQUIRES, "the question")
+        await self.until(lambda: line.state is ConnectionState.ASKING_READINESS, "the question")
         return plain, line
 
     async def test_each_question_before_readiness_has_its_answer(self) -> None:
@@ -94,24 +94,24 @@
         plain.sendall(b"PING\r\n")
         await self.until(lambda: line._questions == 2, "the second question")
         self.news(watch, 2, False)
-        await self.until(lambda: line.phase is Phase.RESTS, "readiness")
+        await self.until(lambda: line.state is ConnectionState.IDLE, "readiness")
         self.assertEqual(await self.exactly(plain, 12), b"PONG\r\nPONG\r\n")
 
     async def test_who_waits_for_readiness_stands_at_the_door_and_may_have_to_go(self) -> None:
         # they were counted as served: by asking they could fill all descriptors while discovery was away
         self.build()
         plain, line = await self.asking()
-        self.assertIn(line, self.node.door.waiting)
-        line.put_out()
+        self.assertIn(line, self.node.admission.waiting)
+        line.evict()
         self.assertRegex(await self.reads(plain), rb"^BUSY \d+\r\n$")
-        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        await self.until(lambda: line.state is ConnectionState.GONE, "its end")
         self.assertFalse(self.node._waiting)
 
     async def test_who_has_gone_before_readiness_is_forgotten(self) -> None:
         self.build()
         plain, line = await self.asking()
         plain.close()
-        await self.until(lambda: line.phase is Phase.GONE, "its end")
+        await self.until(lambda: line.state is ConnectionState.GONE, "its end")
         self.assertFalse(self.node._waiting)
 
     async def test_a_request_before_readiness_takes_the_questions_place(self) -> None:
@@ -124,7 +124,7 @@
         self.news(watch, 2, False)
         await self.until(lambda: self.node.ready, "readiness")
         host.write(b"UP r\r\n")
-        await self.until(lambda: line.phase is Phase.PASSES, "UP")
+        await self.until(lambda: line.state is ConnectionState.RELAYING, "UP")
         self.assertEqual(await self.exactly(plain, 6), b"UP r\r\n")
 
     async def test_an_idle_moment_in_which_the_question_comes_ends_nothing(self) -> None:
@@ -132,7 +132,7 @@
         plain, line = await self.met()
         plain.sendall(b"PING\r\n")
         line._idle()
-        self.assertIs(line.phase, Phase.INQUIRES)
+        self.assertIs(line.state, ConnectionState.ASKING_READINESS)
 
     async def test_a_discovery_that_says_nothing_keeps_nobody_from_being_ready(self) -> None:
         self.build()
@@ -144,7 +144,7 @@
         assert patience.act is not None
         self.assertLessEqual(patience.when, self.node.deadlines.clock.now() + ANSWER)
         patience.act(*patience.args)
-        await self.until(lambda: line.phase is Phase.RESTS, "readiness")
+        await self.until(lambda: line.state is ConnectionState.IDLE, "readiness")
         self.assertEqual(await self.exactly(plain, 6), b"PONG\r\n")
 
 
@@ -171,6 +171,7 @@
 
 
 def test_every_phase_has_its_ways_on_and_none_leads_back_from_the_end() -> None:
-    assert set(NEXT) == set(Phase)
-    assert all(Phase.GONE in NEXT[phase] for phase in Phase if phase is not Phase.GONE)
+    assert set(NEXT) == set(ConnectionState)
+    last = ConnectionState.GONE
+    assert all(last in NEXT[state] for state in ConnectionState if state is not last)
     assert all(NEXT[phase] <= OVER for phase in OVER)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,11 +17,11 @@
 
 from puffindeck import config
 from puffindeck.core.clock import ms, span
-from puffindeck.core.engine import Ticket
+from puffindeck.core.engine import AttemptId
 from puffindeck.interface import DelayTold, Effect, Ended, Listed, ListKind, Opened, Outcome, Retuned
-from puffindeck.net import discovery, door, listening, logs, node, visitor
-from puffindeck.net.heads import Head, HeadError
-from puffindeck.net.leaving import Pace
+from puffindeck.net import admission, client_connection, discovery, listening, logs, node
+from puffindeck.net.graceful_shutdown import DrainSchedule
+from puffindeck.net.request_line import RequestLine, RequestLineError
 from tests.stories import Listener, Story, reactor
 
 ASK = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=1100,g=5c0f6e1a2b3d4c59"
@@ -65,7 +65,7 @@
             for cut in range(1, len(line)):
                 client = await self.client()
                 client.write(line[:cut])
-                (stranger,) = self.node.door.waiting
+                (stranger,) = self.node.admission.waiting
                 await self.until(partial(self.held, stranger, line[:cut]), "its first piece")
                 client.write(line[cut:])
                 self.assertEqual(await client.line(), answer)
@@ -118,7 +118,7 @@
         await self.until(lambda: client.buffer, "the half line")
         slow = await self.client()
         with (patch.object(self.node, "reactor", wraps=reactor) as program,
-              patch.object(node, "RESTART", Pace(span(200), span(400), span(100), span(3300))),
+              patch.object(node, "RESTART", DrainSchedule(span(200), span(400), span(100), span(3300))),
               patch.object(program, "stop") as stop):
             self.node.stop()
             late, _, _ = await self.served(ASK)  # other nodes may be stopping too, or not be back yet
@@ -233,7 +233,7 @@
             client.write(ASK.encode() + b"\r\n")
             self.assertRegex(await client.line(), rb"^BUSY \d+$")
         await self.served(ASK)
-        with patch.object(door, "SPARE", 1024):  # no room for a client and its host
+        with patch.object(admission, "SPARE", 1024):  # no room for a client and its host
             other = await self.client(ASK)
             self.assertRegex(await other.line(), rb"^BUSY \d+$")
 
@@ -243,9 +243,9 @@
 
     async def test_a_silent_or_dribbling_client_is_closed_soon(self) -> None:
         # 30 s of patience let them take all descriptors: a day with them lost half of its usual requests
-        self.assertLess(visitor.FIRST_LINE, span(3000))
+        self.assertLess(client_connection.FIRST_LINE, span(3000))
         self.build()
-        with patch.object(visitor, "FIRST_LINE", span(50)):
+        with patch.object(client_connection, "FIRST_LINE", span(50)):
             silent = await self.client()
             dribbling = await self.client()
             dribbling.write(b"OPEN 9b1f")
@@ -260,16 +260,17 @@
 
     async def test_hundreds_of_silent_clients_leave_room_for_the_usual_ones(self) -> None:
         self.build()
-        self.node.door.limit(256)
-        with patch.object(self.node.door, "_used", lambda: 2 * 256 // 3):  # a third of all, and their hosts
-            self.assertFalse(self.node.door.full())
+        self.node.admission.limit(256)
+        # a third of all, and their hosts
+        with patch.object(self.node.admission, "_used", lambda: 2 * 256 // 3):
+            self.assertFalse(self.node.admission.full())
         told = [await self.client("PING") for _ in range(20)]
         watch = await self.watched()
         self.news(watch, 2, False)
         for front in told:
             self.assertEqual(await front.line(), b"PONG")
         usual = await self.client()  # its line takes its time
-        room = 256 - door.SPARE - door.NEXT
+        room = 256 - admission.SPARE - admission.NEXT
         rude = [await self.client() for _ in range(room - 1)]
         await self.until(lambda: all(front.end for front in told), "who was told PONG to go first")
         self.assertEqual(sum(peer.end is not None for peer in (usual, *rude)), 0)
@@ -280,11 +281,12 @@
         self.assertEqual(await usual.line(), b"UP r1")
         more = [await self.client() for _ in range(40)]
         await self.until(lambda: sum(peer.end is not None for peer in rude) >= 40, "the first ones to go")
-        self.assertEqual(len(self.node.door.waiting), room - 2)  # a served one's two are taken off
+        self.assertEqual(len(self.node.admission.waiting), room - 2)  # a served one's two are taken off
         self.assertIsNone(more[-1].end)  # who came last may yet ask
-        with patch.object(self.node.door, "_used", lambda: 300):
+        with patch.object(self.node.admission, "_used", lambda: 300):
             await self.client()
-            await self.until(lambda: len(self.node.door.waiting) == self.node.door.least, "its giving way")
+            control = self.node.admission
+            await self.until(lambda: len(control.waiting) == control.least, "its giving way")
 
     async def test_the_start_of_a_line_is_owed_no_answer(self) -> None:
         # a client that stopped short in a line was moved, and its host cut, for the host's silence
@@ -402,15 +404,15 @@
         second = slots.add(object())  # type: ignore[arg-type]
         self.assertNotEqual(first, second)
         self.assertIsNone(slots.get(first))
-        self.node.engine.ended(Ticket(first, 0), Outcome.OK)
+        self.node.engine.ended(AttemptId(first, 0), Outcome.OK)
         self.assertEqual(self.ends(Ended), [])
         slots.drop(second)
 
     def test_a_head_is_read_in_place(self) -> None:
-        head = Head(b"OPEN 1 zz,z c=chat,d=20.5,x=d=3")
+        head = RequestLine(b"OPEN 1 zz,z c=chat,d=20.5,x=d=3")
         self.assertEqual(b"".join(head.parts(span(7.9))), b"OPEN 1 zz,z c=chat,d=7,x=d=3\r\n")
-        with self.assertRaises(HeadError):
-            Head(b"OPEN 1 2 c=chat")
+        with self.assertRaises(RequestLineError):
+            RequestLine(b"OPEN 1 2 c=chat")
 
 
 class ReloadStories(Story):
--- a/tests/test_reactor_clock.py
+++ b/tests/test_reactor_clock.py
@@ -11,8 +11,8 @@
 from twisted.internet.task import Clock as FakeTimers
 
 from puffindeck.core.clock import Clock, span
-from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.reactor_clock import PendingTimersError, use_monotonic_clock
+from puffindeck.core.timer_queue import TimerQueue
 
 
 def reactor() -> Any:
@@ -54,7 +54,7 @@
 def test_a_timer_that_is_long_overdue_is_set_anew_with_the_next_deadline() -> None:
     """In a program of somebody else's, whose reactor measures timers on the wall clock."""
     clock, timers = SetClock(), FakeTimers()
-    deadlines = Deadlines(clock, timers)
+    deadlines = TimerQueue(clock, timers)
     done: list[str] = []
     deadlines.after(span(100), done.append, "first")
     clock.moment += span(500)  # and the reactor's clock stands still
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -8,8 +8,8 @@
 from twisted.logger import globalLogPublisher
 
 from puffindeck.core.clock import Clock
-from puffindeck.core.deadlines import Deadlines
 from puffindeck.core.request_observer import Answer, Reason
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.net import request_log, wall_clock
 from puffindeck.net.logs import line
 from puffindeck.net.request_log import RequestLog
@@ -82,7 +82,7 @@
             return FakeTimers().callLater(delay, callable)
 
     log: Any = Lines()
-    requests = RequestLog(log, Deadlines(Clock(), Timers()), str)
+    requests = RequestLog(log, TimerQueue(Clock(), Timers()), str)
     for number in range(request_log.LINES + 3):
         requests.answered(str(number), Answer.REFUSED, Reason.DECISION)
     assert len(written) == request_log.LINES
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -86,7 +86,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         super().__init__(daemon=True)
         self.address, self.over, self.full = address, threading.Event(), threading.Event()
-        self.put_out = 0
+        self.evict = 0
 
     def run(self) -> None:
         watch, here = select.epoll(), dict[int, socket.socket]()
@@ -99,7 +99,7 @@
                 watch.register(one, select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR)
             self.full.set()
             for number, _ in watch.poll(0.05):
-                self.put_out += 1
+                self.evict += 1
                 watch.unregister(number)
                 here.pop(number).close()
         for one in here.values():
--- a/tests/test_rpc_roster.py
+++ b/tests/test_rpc_roster.py
@@ -214,7 +214,7 @@
 
 def _request(key: str) -> Request:
     from puffindeck.interface import Requested
-    from puffindeck.roster.keys import number
+    from puffindeck.service_discovery.keys import number
     from tests.rpc_world import SETTINGS
 
     return Request(Requested(1, 0, 0, number(key.encode()), 1200, 0.0, 0), SETTINGS, 1.0, 0.0)
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -14,7 +14,7 @@
 from puffindeck.core.clock import span
 from puffindeck.interface import Attached, Detached
 from puffindeck.net import node, operator
-from puffindeck.net.leaving import Pace
+from puffindeck.net.graceful_shutdown import DrainSchedule
 from tests.stories import Peer, Story
 from tests.test_node import ASK
 
@@ -33,7 +33,7 @@
 
     async def close(self) -> None:
         for caller in list(self.node.operator.callers):
-            caller.put_out()
+            caller.evict()
         await self.node.operator_port.stopListening()
         await super().close()
 
@@ -162,7 +162,7 @@
         front = await self.client("PING")
         self.assertEqual(await front.line(), b"PONG")
         first, _, _ = await self.served(ASK)
-        with patch.object(node, "LAME", Pace(span(1000), span(1100), span(100), span(1800))):
+        with patch.object(node, "DRAIN", DrainSchedule(span(1000), span(1100), span(100), span(1800))):
             self.assertEqual(await self.call("PUT /_lameduck/on"), 200)
         front.write(b"PING\r\n")
         self.assertEqual(await front.line(), b"BUSY")
@@ -192,7 +192,7 @@
         self.build()
         await self.serving()
         client, _, host = await self.served(ASK)
-        with patch.object(node, "LAME", Pace(span(50), span(150), span(100), span(300))):
+        with patch.object(node, "DRAIN", DrainSchedule(span(50), span(150), span(100), span(300))):
             self.assertEqual(await self.call("PUT /_lameduck/on"), 200)
         await self.until(lambda: self.node.shut, "its end of serving")
         self.assertEqual(await self.call("PUT /_lameduck/off"), 200)
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from puffindeck.roster.start_times import LATE_MS, StartTimes
+from puffindeck.service_discovery.start_times import LATE_MS, StartTimes
 
 NOW = 1_700_000_000_000.0
 HEARD = NOW - 1000.0
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -16,7 +16,7 @@
 from puffindeck.core.clock import ms, span
 from puffindeck.interface import Follow, ListKind
 from puffindeck.net import discovery
-from puffindeck.roster.watch import ANSWER, BESIDE, LIST, SILENT, WatchError, WatchState
+from puffindeck.service_discovery.watch import ANSWER, BESIDE, LIST, SILENT, WatchError, WatchState
 from tests.stories import Peer
 from tests.test_discovery import ListStory, chunk, listing
 from tests.world import SETTINGS, Gateway, listed
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 from puffindeck.config import Node as Told
 from puffindeck.core.clock import Clock, span
 from puffindeck.net import node
-from puffindeck.net.leaving import Pace
+from puffindeck.net.graceful_shutdown import DrainSchedule
 from puffindeck.net.node import Node
 from puffindeck.net.upgrade import Generation, descriptors
 from tests.stories import Peer, Story, reactor
@@ -73,7 +73,7 @@
         accepted = await self.dial("")
         await self.until(lambda: len(self.node.clients) == 2, "both at the older one")
         with (patch.object(self.node, "reactor", wraps=reactor) as program,
-              patch.object(node, "UPGRADE", Pace(span(1500), span(300), span(100), span(3300))),
+              patch.object(node, "UPGRADE", DrainSchedule(span(1500), span(300), span(100), span(3300))),
               patch.object(program, "stop") as stop):
             strained = self.node.engine.balancer.servers[self.node.directory.number("h0")]
             strained.ceiling = 4.5
@@ -103,11 +103,12 @@
 
     async def test_both_together_have_the_descriptors_of_one(self) -> None:
         await self.build_both()
-        await self.until(lambda: self.node.door.others and self.second.door.others, "each to know the other")
-        self.assertEqual(self.node.door.sockets, 1024 - self.node.door.others)
-        self.assertLess(abs(self.second.door.others - descriptors()), 8)
+        both = self.node.admission, self.second.admission
+        await self.until(lambda: all(one.others for one in both), "each to know the other")
+        self.assertEqual(self.node.admission.sockets, 1024 - self.node.admission.others)
+        self.assertLess(abs(self.second.admission.others - descriptors()), 8)
         self.second.generation.end()
-        await self.until(lambda: self.node.door.sockets == 1024, "its share to come back")
+        await self.until(lambda: self.node.admission.sockets == 1024, "its share to come back")
 
     def test_files_of_the_dead_and_of_others_harm_nobody(self) -> None:
         with tempfile.TemporaryDirectory() as name:
