--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -10,15 +10,16 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from datetime import timedelta
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 from twisted.logger import Logger
 
-from puffindeck.core.clock import ZERO, ms, span
+from puffindeck.core.clock import ms, span
 from puffindeck.core.generational_arena import GenerationalArena
+from puffindeck.core.reachability import Reachability
 from puffindeck.core.request_observer import Answer, Reason, RequestObserver, Unobserved
-from puffindeck.core.timer_queue import Deadline, TimerQueue
+from puffindeck.core.requests import AttemptId, Client, Held, Link, Request
+from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.interface import (
     Action,
     Attached,
@@ -31,7 +32,6 @@
     Ended,
     Entry,
     Event,
-    Facts,
     Fail,
     Follow,
     Listed,
@@ -46,7 +46,6 @@
     Retuned,
     Send,
     Settings,
-    State,
     Wake,
     Woken,
 )
@@ -54,7 +53,6 @@
 log = Logger("puffindeck")
 
 LATE = span(15)  # how long after its deadline a request that the module has not answered is failed
-DRAIN_MARGIN = span(100)  # how long before the end of a drain's grace nothing more is begun
 
 
 class Decisions(Protocol):
@@ -65,77 +63,6 @@
     def ceilings(self) -> dict[int, float]: ...
 
 
-class AttemptId(NamedTuple):
-    """An attempt: its request's number in the table, and its own among the request's."""
-
-    request: int
-    attempt: int
-
-
-class Link(Protocol):
-    """A front's side of an attempt, and of the connection that it becomes."""
-
-    def give_up(self) -> None:
-        """End it; nothing more is told of it."""
-
-    def look(self) -> None:
-        """Take in what the server has said by now: an answer that came in time counts, read late or not."""
-
-
-class Client(Protocol):
-    """A front's side of a request: whoever waits for its answer."""
-
-    def waits(self) -> bool:
-        """Is it still there, at this very moment? One that has left gets no further attempt."""
-
-    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> Link | None:
-        """Start an attempt, whose first byte may go out until `begin`. None if it has ended already.
-
-        Its end has then been told.
-        """
-
-    def began(self, link: Link) -> None:
-        """The final answer: served by what this link leads to."""
-
-    def refuse(self, wait: timedelta) -> None:
-        """The final answer: trying again, after a wait, does no harm."""
-
-    def fail(self) -> None:
-        """The final answer: failed, and nothing is known of what was done."""
-
-    def move(self) -> bool:
-        """Its connection stands; send it away politely and end the link. False if this front can't."""
-
-
-class Request(NamedTuple):
-    """What a client asks for."""
-
-    cls: int
-    key: int
-    left: timedelta
-    hint: float = 0.0
-    group: int = 0
-    returning: bool = False
-    facts: Facts | None = None  # what routes may go by
-    id: str = ""  # the client's own, where its wire has one: the log names the request by it
-
-
-class Held:
-    """A request in its slot, until it is answered and its last attempt has ended."""
-
-    __slots__ = ("answered", "attempts", "begun", "client", "cls", "deadline", "expiry", "guard", "id",
-                 "link", "most", "number", "out", "sent", "server")
-
-    def __init__(self, client: Client, cls: int, deadline: timedelta, most: int, id: str) -> None:
-        self.client, self.cls, self.deadline, self.most, self.id = client, cls, deadline, most, id
-        self.number = self.attempts = self.server = 0
-        self.answered = self.out = self.begun = False
-        self.sent = ZERO
-        self.link: Link | None = None
-        self.expiry: Deadline | None = None
-        self.guard: Deadline | None = None
-
-
 class Engine:
     """One gateway: its decision module and the requests it has taken."""
 
@@ -150,10 +77,7 @@
         self.held: GenerationalArena[Held] = GenerationalArena()
         self._events: deque[Event] = deque()
         self._busy = False
-        self._unfit: dict[int, timedelta] = {}  # servers that drain or are gone, and since when that is known
-        self._detached: dict[int, timedelta] = {}  # those that staff have taken out, and since when
-        self._listed: set[int] = set()
-        self._grace = self._grace_of(settings)
+        self.reachability = Reachability(self.clock, settings)
         self._do: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Move: self._move,
             Wake: self._wake, Follow: lambda action: self.follow(), Log: self._log,
@@ -188,44 +112,29 @@
 
     def listed(self, kind: ListKind, version: int = 0, entries: Iterable[Entry] = ()) -> None:
         """News of the server list, or that it can't be had."""
-        entries, now = list(entries), self.clock.now()
-        fit = {e.server for e in entries if e.state == State.READY}
-        draining = {e.server for e in entries if e.state == State.DRAINING}
-        gone = {e.server for e in entries if e.state == State.GONE}
-        if kind in (ListKind.FULL, ListKind.CACHED):  # who is not named is gone
-            gone |= self._listed - fit - draining
-        self._listed = (self._listed | fit | draining) - gone
-        for server in draining | gone:
-            self._unfit.setdefault(server, now)
-        for server in fit:
-            self._unfit.pop(server, None)
+        entries = list(entries)
+        self.reachability.listed(kind, entries)
         self.tell(Listed(kind, version, entries))
 
     def known(self, server: int) -> bool:
         """Does the list have it, be it that it drains?"""
-        return server in self._listed
+        return self.reachability.known(server)
 
     def may_reach(self, server: int) -> bool:
         """Rule 3 again, right before an attempt's first byte: its connect may have taken its time."""
-        now = self.clock.now()
-        return all(now - table.get(server, now) < self._grace or server not in table
-                   for table in (self._unfit, self._detached))
+        return self.reachability.may_reach(server)
 
     # From the front: what staff say
 
     def detach(self, server: int) -> None:
         """Nothing new to this server until it is attached, whatever the list says."""
-        self._detached.setdefault(server, self.clock.now())
+        self.reachability.detach(server)
         self.tell(Detached(server))
 
     def attach(self, server: int) -> None:
-        self._detached.pop(server, None)
+        self.reachability.attach(server)
         self.tell(Attached(server))
 
-    @staticmethod
-    def _grace_of(settings: Settings) -> timedelta:
-        return max(ZERO, span(settings.drain_grace_ms) - DRAIN_MARGIN)
-
     def retune(self, new: Settings, kept: Iterable[int] = ()) -> None:
         """Other settings from now on; what is open keeps the rules that it began with.
 
@@ -243,7 +152,7 @@
             else:
                 places.append(c)
         self.settings = replace(new, classes=tuple(places))
-        self._grace = self._grace_of(new)
+        self.reachability.retune(new)
         self.tell(Retuned(self.settings))
 
     # From the front: requests
--- /dev/null
+++ b/puffindeck/core/reachability.py
@@ -0,0 +1,61 @@
+"""Which servers may be sent something new, by the list and by staff, each with a drain's grace (rule 3)."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from puffindeck.core.clock import ZERO, Clock, span
+from puffindeck.interface import Entry, ListKind, Settings, State
+
+DRAIN_MARGIN = span(100)  # how long before the end of a drain's grace nothing more is begun
+
+
+class Reachability:
+    """Servers that drain, are gone or were taken out, and since when that is known."""
+
+    def __init__(self, clock: Clock, settings: Settings) -> None:
+        self._clock = clock
+        self.grace = ZERO
+        self.unfit_since: dict[int, timedelta] = {}  # by the list
+        self.detached_since: dict[int, timedelta] = {}  # by staff
+        self._listed: set[int] = set()
+        self.retune(settings)
+
+    def retune(self, settings: Settings) -> None:
+        """Another grace from now on."""
+        self.grace = max(ZERO, span(settings.drain_grace_ms) - DRAIN_MARGIN)
+
+    def listed(self, kind: ListKind, entries: Iterable[Entry]) -> None:
+        """News of the list; of one that could not be had there are no entries."""
+        now, state_of = self._clock.now(), {entry.server: entry.state for entry in entries}
+        fit = {server for server, state in state_of.items() if state == State.READY}
+        draining = {server for server, state in state_of.items() if state == State.DRAINING}
+        gone = {server for server, state in state_of.items() if state == State.GONE}
+        if kind in (ListKind.FULL, ListKind.CACHED):  # who is not named is gone
+            gone |= self._listed - fit - draining
+        self._listed = (self._listed | fit | draining) - gone
+        for server in draining | gone:
+            self.unfit_since.setdefault(server, now)
+        for server in fit:
+            self.unfit_since.pop(server, None)
+
+    def known(self, server: int) -> bool:
+        """Does the list have it, be it that it drains?"""
+        return server in self._listed
+
+    def detach(self, server: int) -> None:
+        """Staff have taken it out."""
+        self.detached_since.setdefault(server, self._clock.now())
+
+    def attach(self, server: int) -> None:
+        """Staff have put it back."""
+        self.detached_since.pop(server, None)
+
+    def may_reach(self, server: int) -> bool:
+        """Is there grace left for something new, at this moment?"""
+        now = self._clock.now()
+        return all(
+            now - since[server] < self.grace
+            for since in (self.unfit_since, self.detached_since) if server in since
+        )
--- /dev/null
+++ b/puffindeck/core/requests.py
@@ -0,0 +1,81 @@
+"""What the engine deals in: requests, their attempts, and what it wants of a front's clients and links."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import NamedTuple, Protocol
+
+from puffindeck.core.clock import ZERO
+from puffindeck.core.timer_queue import Deadline
+from puffindeck.interface import Facts
+
+
+class AttemptId(NamedTuple):
+    """An attempt: its request's number in the table, and its own among the request's."""
+
+    request: int
+    attempt: int
+
+
+class Link(Protocol):
+    """A front's side of an attempt, and of the connection that it becomes."""
+
+    def give_up(self) -> None:
+        """End it; nothing more is told of it."""
+
+    def look(self) -> None:
+        """Take in what the server has said by now: an answer that came in time counts, read late or not."""
+
+
+class Client(Protocol):
+    """A front's side of a request: whoever waits for its answer."""
+
+    def waits(self) -> bool:
+        """Is it still there, at this very moment? One that has left gets no further attempt."""
+
+    def open(self, ticket: AttemptId, server: int, until: timedelta, begin: timedelta) -> Link | None:
+        """Start an attempt, whose first byte may go out until `begin`. None if it has ended already.
+
+        Its end has then been told.
+        """
+
+    def began(self, link: Link) -> None:
+        """The final answer: served by what this link leads to."""
+
+    def refuse(self, wait: timedelta) -> None:
+        """The final answer: trying again, after a wait, does no harm."""
+
+    def fail(self) -> None:
+        """The final answer: failed, and nothing is known of what was done."""
+
+    def move(self) -> bool:
+        """Its connection stands; send it away politely and end the link. False if this front can't."""
+
+
+class Request(NamedTuple):
+    """What a client asks for."""
+
+    cls: int
+    key: int
+    left: timedelta
+    hint: float = 0.0
+    group: int = 0
+    returning: bool = False
+    facts: Facts | None = None  # what routes may go by
+    id: str = ""  # the client's own, where its wire has one: the log names the request by it
+
+
+class Held:
+    """A request in its slot, until it is answered and its last attempt has ended."""
+
+    __slots__ = ("answered", "attempts", "begun", "client", "cls", "deadline", "expiry", "guard", "id",
+                 "link", "most", "number", "out", "sent", "server")
+
+    def __init__(self, client: Client, cls: int, deadline: timedelta, most: int, id: str) -> None:
+        self.client, self.cls, self.deadline, self.most, self.id = client, cls, deadline, most, id
+        self.number = self.attempts = self.server = 0
+        self.answered = self.out = self.begun = False
+        self.sent = ZERO
+        self.link: Link | None = None
+        self.expiry: Deadline | None = None
+        self.guard: Deadline | None = None
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -7,8 +7,8 @@
 from twisted.logger import Logger
 
 from puffindeck.core.clock import ZERO
-from puffindeck.core.engine import Request
 from puffindeck.core.request_observer import Answer, Reason
+from puffindeck.core.requests import Request
 from puffindeck.interface import Facts, Outcome
 from puffindeck.net.client_connection import FIRST_LINE, OVER, SERVED, UNASKED, ConnectionState
 from puffindeck.net.closing import drain_receive_buffer, flush
--- a/puffindeck/net/relay.py
+++ b/puffindeck/net/relay.py
@@ -5,8 +5,8 @@
 from twisted.logger import Logger
 
 from puffindeck.core.clock import span
-from puffindeck.core.engine import Link as CoreLink
 from puffindeck.core.request_observer import Reason
+from puffindeck.core.requests import Link as CoreLink
 from puffindeck.interface import Outcome
 from puffindeck.net.client_connection import OVER, SERVED, ClientConnection, ConnectionState
 from puffindeck.net.closing import break_off, flush
--- a/puffindeck/net/upstream_attempts.py
+++ b/puffindeck/net/upstream_attempts.py
@@ -7,8 +7,8 @@
 from twisted.logger import Logger
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.core.engine import AttemptId, Request
-from puffindeck.core.engine import Link as CoreLink
+from puffindeck.core.requests import AttemptId, Request
+from puffindeck.core.requests import Link as CoreLink
 from puffindeck.interface import Outcome
 from puffindeck.net.client_connection import ConnectionState
 from puffindeck.net.relay import Relay
--- a/puffindeck/net/upstream_connection.py
+++ b/puffindeck/net/upstream_connection.py
@@ -13,7 +13,8 @@
 from zope.interface import implementer
 
 from puffindeck.core.clock import ZERO
-from puffindeck.core.engine import AttemptId, Engine
+from puffindeck.core.engine import Engine
+from puffindeck.core.requests import AttemptId
 from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import Outcome
 from puffindeck.net.closing import close, drain_receive_buffer, flush
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -21,8 +21,9 @@
 
 from puffindeck.config import Quic
 from puffindeck.core.clock import ZERO, ms, span
-from puffindeck.core.engine import AttemptId, Engine, Link, Request
+from puffindeck.core.engine import Engine
 from puffindeck.core.generational_arena import GenerationalArena
+from puffindeck.core.requests import AttemptId, Link, Request
 from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.interface import Facts, Outcome
 from puffindeck.quic import packets
--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -10,7 +10,7 @@
 from grpc.aio import AioRpcError, Metadata
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.core.engine import AttemptId
+from puffindeck.core.requests import AttemptId
 from puffindeck.interface import Outcome
 from puffindeck.rpc import outcomes
 from puffindeck.rpc.status import MOVED, PUSHBACK, Final
--- a/puffindeck/rpc/calls.py
+++ b/puffindeck/rpc/calls.py
@@ -12,7 +12,7 @@
 from grpc.aio import EOF, AioRpcError, Metadata
 
 from puffindeck.core.clock import ZERO, span
-from puffindeck.core.engine import AttemptId, Link, Request
+from puffindeck.core.requests import AttemptId, Link, Request
 from puffindeck.interface import Facts, Outcome
 from puffindeck.rpc.attempt import NOTHING, Attempt
 from puffindeck.rpc.replay import Replay
--- a/puffindeck/rpc/endpoint.py
+++ b/puffindeck/rpc/endpoint.py
@@ -22,7 +22,8 @@
 from puffindeck.choice import Balancer
 from puffindeck.config import Members, Target
 from puffindeck.core.clock import ZERO, Clock, ms, span
-from puffindeck.core.engine import AttemptId, Engine, Link, Request
+from puffindeck.core.engine import Engine
+from puffindeck.core.requests import AttemptId, Link, Request
 from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import ListKind, Outcome, Settings
 from puffindeck.service_discovery.directory import Directory
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,7 +8,7 @@
 from unittest.mock import patch
 
 from puffindeck.core.clock import span
-from puffindeck.core.engine import AttemptId
+from puffindeck.core.requests import AttemptId
 from puffindeck.interface import ClientLeft, Effect, Ended, Outcome
 from puffindeck.net import upstream_connection
 from puffindeck.net.client_connection import ConnectionState
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,7 +17,7 @@
 
 from puffindeck import config
 from puffindeck.core.clock import ms, span
-from puffindeck.core.engine import AttemptId
+from puffindeck.core.requests import AttemptId
 from puffindeck.interface import DelayTold, Effect, Ended, Listed, ListKind, Opened, Outcome, Retuned
 from puffindeck.net import admission, client_connection, discovery, listening, logs, node
 from puffindeck.net.graceful_shutdown import DrainSchedule
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -240,7 +240,7 @@
         caller, uid = await self.talk()
         self.news(watch, 2, False, self.target(uid, "DRAINING"))
         server = self.node.directory.number(uid)
-        await self.until(lambda: server in self.node.engine._unfit, "the news")
+        await self.until(lambda: server in self.node.engine.reachability.unfit_since, "the news")
         told = self.node.deadlines.clock.now()
         await self.until(lambda: ms(self.node.deadlines.clock.now() - told) > 500, "the grace to pass")
         box, before = self.boxes[uid], len(self.boxes[uid].conns)
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -131,7 +131,7 @@
         self.assertEqual(await self.call("PUT /_hosts/detach?member=h0"), 507)
         # it counts 1 s after the call whatever was answered, so it holds here
         self.assertEqual(len(self.ends(Detached)), 2)
-        self.assertIn(number, self.node.engine._detached)
+        self.assertIn(number, self.node.engine.reachability.detached_since)
         records.unlink()
         await self.until(lambda: records.is_dir() and marker.exists(), "its record, once there is a folder")
         self.assertEqual(await self.call("PUT /_hosts/attach?member=h0"), 200)
