--- a/packages/faults/src/puffindeck_faults/machine.c
+++ b/packages/faults/src/puffindeck_faults/machine.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -52,6 +53,7 @@
     folder = getenv("PUFFINDECK_FAULTS_FOLDER");
     if (path == NULL)
         return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* nobody is left behind when the player is ended */
     int (*real)(const char *, int, ...) = dlsym(RTLD_NEXT, "open");
     int file = real(path, O_RDWR | O_CLOEXEC);
     if (file < 0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -366,7 +366,8 @@
         # a connect may have been on its way all that time: it is asked again before the first byte
         self.build(hosts=1, drain_grace_ms=0)
         with patch.object(self.node.engine, "may_reach", side_effect=self.node.engine.may_reach) as asked:
-            with patch.object(self.node.engine, "_unfit", {self.node.directory.number("h0"): span(0)}):
+            drained = {self.node.directory.number("h0"): span(0)}
+            with patch.object(self.node.engine.reachability, "unfit_since", drained):
                 await self.client(ASK)
                 _, host = await self.host_of()
                 await host.ended()
