A UDP socket outlives a moment's lack of memory or buffers

Cause, on the incident's related paths: udp.Port.doRead raises on ENOMEM and ENOBUFS of recvfrom, and the reactor closes the socket then; a fleet member or the QUIC front heard nothing more, with one traceback in the log. Change: core/datagram_port.py, used for both and for sockets to single peers and boxes; machine_errors stands in core, below both.

--- a/packages/fleet/src/puffindeck_fleet/datagrams.py
+++ b/packages/fleet/src/puffindeck_fleet/datagrams.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from puffindeck.core.datagram_port import listen_datagrams
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import DatagramProtocol
 
 from puffindeck_fleet.errors import BindFailed
 
+LARGEST = 65535  # bytes of a datagram
 LINES = 16  # sockets to single peers at once: a member pings a few, and more only while it is in doubt
 
 
@@ -69,7 +71,7 @@
         """The address that was bound. BindFailed if it can't be."""
         host, port = self._address
         try:
-            self._port = self._reactor.listenUDP(port, self._main, interface=host, maxPacketSize=65535)
+            self._port = listen_datagrams(self._reactor, port, self._main, host, LARGEST)
         except CannotListenError as error:
             reason = str(error.socketError)
             raise BindFailed("fleet.bind", address=f"{host}:{port}", reason=reason) from None
@@ -108,7 +110,7 @@
         try:
             line = Line(split(address), refused)
             # answers go to the main address: a line only sends, and hears refusals
-            self._reactor.listenUDP(0, line, interface=self._address[0])
+            listen_datagrams(self._reactor, 0, line, self._address[0])
         except (CannotListenError, OSError, ValueError):
             return None  # no descriptor left, or an address of no use
         return line
--- a/puffindeck/net/closing.py
+++ b/puffindeck/net/closing.py
@@ -14,8 +14,8 @@
 from zope.interface import implementer
 
 from puffindeck.core.clock import span
+from puffindeck.core.machine_errors import NOT_NOW
 from puffindeck.core.timer_queue import TimerQueue
-from puffindeck.net.machine_errors import NOT_NOW
 
 LINGER = span(600)  # how long a connection that is to end may take to send what it still holds
 
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -13,6 +13,7 @@
 from puffindeck.config import ConfigError, ConfigUnreadable, Quic
 from puffindeck.config import Node as Told
 from puffindeck.core.clock import span
+from puffindeck.core.datagram_port import listen_datagrams
 from puffindeck.interface import ListKind, Settings
 from puffindeck.net.admin import Admin
 from puffindeck.net.client import ClientLine
@@ -34,6 +35,7 @@
 SWEEP = span(250)  # how often open connections are looked over
 SILENT = span(3250)
 RETRY_AFTER = span(150)  # when a client refused by a node without room may come again
+LARGEST_DATAGRAM = 65535  # bytes
 READ_AGAIN = span(500)  # how soon a file that the system could not read at a reload is tried again
 DROPPED = span(5000)  # how long a class that is dropped is served: its clients learn of it later
 
@@ -114,7 +116,7 @@
             lambda: self.leaving is not None,
         )
         host, port = told.listen
-        self.quic_port = self.reactor.listenUDP(port, self.quic, interface=host, maxPacketSize=65535)
+        self.quic_port = listen_datagrams(self.reactor, port, self.quic, host, LARGEST_DATAGRAM)
         log.info("node {name}: QUIC on {host}:{port}", name=self.told.name, host=host, port=port)
 
     def _watch(self, version: int | None) -> Watch:
--- a/puffindeck/net/transports.py
+++ b/puffindeck/net/transports.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import main, tcp
 
-from puffindeck.net.machine_errors import NOT_NOW
+from puffindeck.core.machine_errors import NOT_NOW
 
 
 class _Steady:
--- a/puffindeck/net/upstream_connection.py
+++ b/puffindeck/net/upstream_connection.py
@@ -14,11 +14,11 @@
 
 from puffindeck.core.clock import ZERO
 from puffindeck.core.engine import Engine
+from puffindeck.core.machine_errors import NO_RESOURCE, errno_of
 from puffindeck.core.requests import AttemptId
 from puffindeck.core.timer_queue import Deadline, TimerQueue
 from puffindeck.interface import Outcome
 from puffindeck.net.closing import close, drain_receive_buffer, flush
-from puffindeck.net.machine_errors import NO_RESOURCE, errno_of
 from puffindeck.net.request_line import CRLF, MAX_LINE, RequestLine
 from puffindeck.net.transports import Connector
 
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -21,6 +21,7 @@
 
 from puffindeck.config import Quic
 from puffindeck.core.clock import ZERO, ms, span
+from puffindeck.core.datagram_port import listen_datagrams
 from puffindeck.core.engine import Engine
 from puffindeck.core.generational_arena import GenerationalArena
 from puffindeck.core.requests import AttemptId, Link, Request
@@ -82,7 +83,7 @@
         front = self.flow.front
         upstream = Upstream(self, address)
         try:
-            self._port = front.reactor.listenUDP(0, upstream, interface="::" if ":" in address[0] else "")
+            self._port = listen_datagrams(front.reactor, 0, upstream, "::" if ":" in address[0] else "")
         except CannotListenError as error:
             log.warn("quic: no socket towards {host}: {error}", host=front.directory.name(self.server),
                      error=error)
