--- a/packages/faults/src/puffindeck_faults/discovery.py
+++ b/packages/faults/src/puffindeck_faults/discovery.py
@@ -117,6 +117,8 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode("ascii")
             while self.silent:
                 await asyncio.sleep(0.05)
+            if writer.is_closing():  # it went down meanwhile: nobody is told
+                return
             await self._answer(node, head.split()[1], writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # cancelled only when the run is over
