--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -195,18 +195,25 @@
         self.log = folder / f"{name}.log"
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
-        """Start the process."""
-        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    def arguments(self) -> str:
+        """Return what follows the deploy file's command."""
+        return f"--config {self.file}"
+
+    def environment(self) -> dict[str, str]:
+        """Return the process's environment."""
         temporary = self.folder / f"{self.name}.tmp"
         temporary.mkdir(exist_ok=True)
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-        environment["TMPDIR"] = str(temporary)
+        return {**environment, "TMPDIR": str(temporary)}
+
+    def start(self) -> None:
+        """Start the process."""
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", f"{run} --config {self.file}"],
+                ["/bin/sh", "-c", f"{run} {self.arguments()}"],
                 cwd=ROOT,
-                env=environment,
+                env=self.environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -410,6 +417,126 @@
             gateway.stop()
 
 
+class Discovery:
+    """The platform's discovery: the whole list, and a watch with an empty line every 2 s."""
+
+    def __init__(self, address: str, hosts: list[HostServer]) -> None:
+        self.address = address
+        self.port = free_port(address)
+        self._hosts = hosts
+
+    async def start(self) -> None:
+        """Listen."""
+        await asyncio.start_server(self._serve, self.address, self.port)
+
+    def members(self) -> dict[str, Any]:
+        """Return the whole list."""
+        targets = [
+            {
+                "uid": host.name,
+                "endpoint": f"{host.address}:{host.port}",
+                "az": "atlanta",
+                "model": "std-box",
+                "pod_group": 1,
+                "state": "SERVING",
+                "capacity_hint": 1.0,
+                "boot_ms": 0,
+            }
+            for host in self._hosts
+        ]
+        return {"rev": 1, "all": True, "targets": targets}
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            body = json.dumps(self.members()).encode() + b"\n"
+            if b"watch=1" not in head:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                writer.write(b"%x\r\n%s\r\n" % (len(body), body))
+                await writer.drain()
+                body = b"\n"
+                await asyncio.sleep(2)
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass  # the node has closed, or the run is over
+        finally:
+            writer.close()
+
+
+class Node(Gateway):
+    """One node as the platform starts it: by EDGE_CONFIG, with discovery."""
+
+    def __init__(self, name: str, address: str, folder: Path, record: Record, discovery: Discovery) -> None:
+        super().__init__(name, address, folder, record)
+        self.discovery = discovery
+        self.file = folder / f"{name}.json"
+
+    def write_file(self, memory_mb: int, sockets: int) -> None:
+        """Write the configuration, with the settings of the site's classes."""
+        config = {
+            "name": self.name,
+            "listen": f"{self.address}:{self.port}",
+            "discovery": f"{self.address}:{self.discovery.port}",
+            "seed": f"{random.getrandbits(60):x}",
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
+            "known": self.discovery.members(),
+            "settings": SETTINGS,
+        }
+        self.file.write_text(json.dumps(config))
+
+    def arguments(self) -> str:
+        """Return nothing: the environment says all."""
+        return ""
+
+    def environment(self) -> dict[str, str]:
+        """Return the process's environment."""
+        return {
+            **super().environment(),
+            "EDGE_CONFIG": str(self.file),
+            "EDGE_NAME": self.name,
+            "EDGE_LISTEN": f"{self.address}:{self.port}",
+            "EDGE_DISCOVERY": f"{self.address}:{self.discovery.port}",
+        }
+
+
+SETTINGS: dict[str, Any] = {
+    "peersTotal": 4,
+    "me": 0,
+    "locality": 0,
+    "zones": ["atlanta", "memphis", "birmingham", "charlotte"],
+    "kinds": ["fast-box", "std-box"],
+    "membershipMode": "subscribe",
+    "weights": "nominal",
+    "workload": "conn",
+    "classes": [
+        {"name": "item-watch", "aimMs": 500, "hardLimitMs": 3000, "repeat": "pure", "worth": 1},
+        {"name": "claim-status", "aimMs": 300, "hardLimitMs": 1800, "repeat": "pure", "worth": 2},
+        {"name": "desk-sync", "aimMs": 800, "hardLimitMs": 3200, "repeat": "pure", "worth": 2},
+        {"name": "pickup-board", "aimMs": 500, "hardLimitMs": 3000, "repeat": "pure", "worth": 1},
+    ],
+    "familyInfo": {"groups": True, "messageAimMs": [100, 50, 60, 250], "mode": "proxy", "tellsDelay": True},
+    "limits": {
+        "cancelling": True,
+        "connectTimeoutMs": 250,
+        "maxAttempts": 3,
+        "maxRetryAfterMs": 1500,
+        "retryAfter": True,
+    },
+    "prices": {"crossZone": 0.0067},
+    "rules": {
+        "answerSlackMs": 20,
+        "askWithinMs": 10000,
+        "coldFrom": 0.31,
+        "drainGraceMs": 500,
+        "fallMs": 1000,
+        "overloadFactor": 3,
+        "warmAfterMs": 9000,
+    },
+}
+
+
 def play(case_folder: Path, run: Any) -> int:
     """Run a case and return its exit code. `run(folder, record, trouble)` returns whether the rule held."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
