--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -419,6 +419,17 @@
         writer.close()
 
 
+async def ask_json(port: int, path: str) -> str:
+    """Make an operators' call that shows something, and return the body of its answer."""
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    try:
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: {LOOPBACK}\r\n\r\n".encode())
+        answer = await asyncio.wait_for(reader.read(), 3)
+        return answer.partition(b"\r\n\r\n")[2].decode()
+    finally:
+        writer.close()
+
+
 class Client:
     """A sound client: one request, then a line every 2 s until it is moved or the connection ends."""
 
