A gRPC stream longer than its replay buffer ends when the server is slow

Cause: commit() establishes the attempt before the response; _receive_stream established it again, was refused, and abandoned the attempt that serves the call, which then had no final status. A committed attempt that ended by a status alone was reported as one to retry, which an answered request is not: no final status either.

Change: Attempt._establish accepts the attempt that serves the call; its status is the final one.

--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -248,7 +248,7 @@
         if self.response is not NO_RESPONSE or self._abandoned:
             return
         self.response = response
-        if self._call.is_served_by(self):  # the call was committed early, because the replay buffer was full
+        if self._call.is_served_by(self):  # the call was committed before the response
             self._call.on_response()
         elif not self._engine.attempt_established(self._attempt_id):
             return
@@ -266,13 +266,20 @@
         if self._abandoned:
             return
         if library_call.done() and not initial_metadata:
-            await self._on_status(library_call, response_started=False)
-        elif self._engine.attempt_established(self._attempt_id):
+            await self._on_status(library_call, response_started=self._call.is_served_by(self))
+        elif self._establish():
             await library_call.code()
             await self._on_status(library_call, response_started=True)
         else:
             self.abandon()
 
+    def _establish(self) -> bool:
+        """Establish the call at this attempt. Returns False if the call no longer waits for it.
+
+        A call that was committed because its replay buffer was full is established before the response.
+        """
+        return self._call.is_served_by(self) or self._engine.attempt_established(self._attempt_id)
+
     async def _on_status(self, library_call: LibraryCall, response_started: bool) -> None:
         """Handle the library call's status: end the balanced call with it, or report a failed attempt."""
         status = await _read_status(library_call)
@@ -283,7 +290,7 @@
         outcome = outcome_of_status(status.code.value[0], status.details, response_started, migrated)
         if response_started or outcome == Outcome.OK:
             # This status is the call's final answer, so the call is established if it was not before.
-            self._engine.attempt_established(self._attempt_id)
+            self._establish()
             self._call.finish(status)
             self._report_end(outcome)
             return
--- a/tests/support/rpc_environment.py
+++ b/tests/support/rpc_environment.py
@@ -63,6 +63,7 @@
         self.calls: list[str] = []  # the methods that were called, in order
         self.metadata: list[dict[str, Any]] = []
         self.open_streams: set[asyncio.Event] = set()  # one per open stream; setting it ends the stream
+        self.read_before_response = 0  # messages of a request stream to read before responding to `Talk`
         self.abandoned_calls = 0  # calls that the client cancelled while `mode` was "silent"
         self.started_ms = 0.0  # milliseconds since 1970
         self.on_call: Callable[[], None] = lambda: None
@@ -143,8 +144,11 @@
         return self.name.encode() + b":" + b",".join([message async for message in requests])
 
     async def _talk(self, requests: AsyncIterator[bytes], context: Any) -> AsyncIterator[bytes]:
+        early_messages = [await anext(requests) for _ in range(self.read_before_response)]
         await self._on_call(context, "talk")
         await context.send_initial_metadata((("served-by", self.name),))
+        for message in early_messages:
+            yield self.name.encode() + b":" + message
         async for message in requests:
             yield self.name.encode() + b":" + message
 
