Connections of before the start are restored at draining and detached hosts

Callers saw: ERR after 40 s for a line with at=ID whose host drains; the host never saw the line.

Cause: UpstreamConnection.on_connected asked may_reach, which answers for new work, for a restored connection too.

Change: the owner of an attempt says whether its line may be sent. net/connection_restore.py has the restore by itself; it asks whether the list has the host, answers BUSY at the end of the client's time for one that no list has, and looks names up without adding them.

--- a/puffindeck/core/engine.py
+++ b/puffindeck/core/engine.py
@@ -107,6 +107,10 @@
         """Return whether the endpoint list contains the endpoint, draining or not."""
         return self.reachability.is_listed(endpoint)
 
+    def has_endpoints(self) -> bool:
+        """Return whether the endpoint list has any endpoint: it is empty until the first list."""
+        return self.reachability.has_endpoints()
+
     def may_reach(self, endpoint: int) -> bool:
         """Return whether an attempt may be sent to the endpoint now.
 
--- a/puffindeck/core/reachability.py
+++ b/puffindeck/core/reachability.py
@@ -47,6 +47,10 @@
         """Return whether the endpoint list contains the endpoint, draining or not."""
         return endpoint in self._listed
 
+    def has_endpoints(self) -> bool:
+        """Return whether the endpoint list has any endpoint."""
+        return bool(self._listed)
+
     def detach(self, endpoint: int) -> None:
         """Record that an operator detached the endpoint."""
         self.detached_since.setdefault(endpoint, self._clock.now())
--- a/puffindeck/core/request_observer.py
+++ b/puffindeck/core/request_observer.py
@@ -23,6 +23,7 @@
     SERVED = "the server took it"
     DECISION = "decided"
     OVERDUE = "no answer by its deadline"
+    NOT_RESTORED = "its earlier server could not be reached"
     STOPPING = "this node stops"
     NO_CAPACITY = "no descriptors left"
     CLIENT_DISCONNECTED = "the client left"
--- a/puffindeck/net/attempt.py
+++ b/puffindeck/net/attempt.py
@@ -20,6 +20,9 @@
     def is_waiting(self) -> bool:
         """Return whether the client is still connected and waits for an answer at this moment."""
 
+    def may_reach(self, endpoint: int) -> bool:
+        """Return whether the request's line may be sent to the endpoint at this moment."""
+
     def on_up(self, link: UpstreamConnection) -> bool:
         """Hand over an accepted connection. Returns False if the client no longer waits for it."""
 
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -15,6 +15,7 @@
 from puffindeck.net.client_connection import FIRST_LINE_TIMEOUT, RETRY_AFTER, ClientConnection
 from puffindeck.net.client_services import ClientServices
 from puffindeck.net.closing import drain_receive_buffer, flush
+from puffindeck.net.connection_restore import ConnectionRestore
 from puffindeck.net.connection_state import FINISHED, SERVED, WITHOUT_REQUEST, ConnectionState
 from puffindeck.net.relay import Relay
 from puffindeck.net.request_line import CRLF, RequestLine, RequestLineError
@@ -27,7 +28,8 @@
     def __init__(self, services: ClientServices, listener: str = "") -> None:
         super().__init__(services, listener)
         self.relay = Relay(self)
-        self.upstream = UpstreamAttempts(self, self.relay, services)
+        self.upstream = UpstreamAttempts(self, services)
+        self._restore: ConnectionRestore | None = None  # set only for a connection that is to be restored
         self._unanswered_pings = 0
 
     def connectionMade(self) -> None:
@@ -97,7 +99,8 @@
             head.id.decode(),
         )
         if head.restore_host:
-            self.upstream.restore(request, head.restore_host)
+            self._restore = ConnectionRestore(self, self.services, request, head)
+            self._restore.begin()
             return
         why = self._reason_to_reject()
         if why is not None:
@@ -132,11 +135,17 @@
         if self.state in SERVED and link is not None:
             link.send(data)
         elif self.state is ConnectionState.WAITING:
-            self.upstream.cancel_request()
+            self._cancel_request()
             self.reject_line("more than one line")
         elif self.state is ConnectionState.HALF_CLOSED:
             self.discard(data)
 
+    def _cancel_request(self) -> None:
+        if self._restore is not None:
+            self._restore.cancel()
+        else:
+            self.engine.client_disconnected(self.request)
+
     # Interface of the engine's client
 
     def start_attempt(
@@ -163,6 +172,8 @@
         self.services.admission.on_closed(self)
         self.cancel_timeout()
         self.services.lifecycle.remove_callback(self.answer_pings)
+        if self._restore is not None:
+            self._restore.cancel_timers()
         if before in FINISHED:
             return
         self.release_id()
@@ -190,7 +201,9 @@
         if self.state in SERVED:
             self.engine.migrate_before_stop(self.request)
             self.relay.send_move()
-        elif self.state is ConnectionState.WAITING and not self.upstream.abandon_restore():
+        elif self.state is ConnectionState.WAITING and self._restore is not None:
+            self._restore.reject()
+        elif self.state is ConnectionState.WAITING:
             self.engine.abort_request(self.request)
 
 
--- a/puffindeck/net/upstream_connection.py
+++ b/puffindeck/net/upstream_connection.py
@@ -98,7 +98,7 @@
         if self.is_finished:
             protocol.transport.abortConnection()
             return
-        if not self._engine.may_reach(self.endpoint):
+        if not self._owner.may_reach(self.endpoint):
             log.info("host {host}: began to drain during the connect: request not sent", host=self.host)
             self.finish(Outcome.CONNECT_FAILED)
             return
--- a/puffindeck/service_discovery/directory.py
+++ b/puffindeck/service_discovery/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from hashlib import blake2b
 
@@ -20,6 +20,15 @@
     "DELETED": EndpointStatus.GONE,
 }
 
+NUMBERS_PER_NAME = 256  # hashes of a name that can become its number
+
+
+def _candidate_numbers(uid: str) -> Iterator[int]:
+    """Yield the hashes of a host's name, of which the first that no other host has is its number."""
+    for collisions in range(NUMBERS_PER_NAME):
+        digest = blake2b(uid.encode(), digest_size=4, salt=collisions.to_bytes(1, "little")).digest()
+        yield int.from_bytes(digest, "little")
+
 
 class Directory:
     """Number, address and start time of each host that has been in the endpoint list."""
@@ -39,13 +48,22 @@
         of two hosts collide, the host that was seen second gets its next hash. Raises OverflowError if all
         256 hashes of the name are taken.
         """
-        for collisions in range(256):
-            digest = blake2b(uid.encode(), digest_size=4, salt=collisions.to_bytes(1, "little")).digest()
-            endpoint = int.from_bytes(digest, "little")
+        for endpoint in _candidate_numbers(uid):
             if self._names.setdefault(endpoint, uid) == uid:
                 return endpoint
         raise OverflowError("no free number for the host")  # pragma: no cover
 
+    def find(self, uid: str) -> int | None:
+        """Return the number of a host; None if it has none. Unlike `number`, it gives out no number.
+
+        Names that clients send are looked up here, because the directory never removes a host.
+        """
+        for endpoint in _candidate_numbers(uid):
+            name = self._names.get(endpoint)
+            if name is None or name == uid:
+                return endpoint if name is not None else None
+        return None  # pragma: no cover
+
     def zone(self, name: str) -> int:
         """Return the number of a zone. A new zone gets the next number."""
         return self._zones.setdefault(name, len(self._zones))
@@ -56,7 +74,7 @@
 
     def is_known(self, uid: str) -> bool:
         """Return whether the host has been in the endpoint list with an address."""
-        return self.number(uid) in self.addresses
+        return self.find(uid) in self.addresses
 
     def name(self, endpoint: int) -> str:
         """Return a host's name by its number; the number as text if it is unknown."""
