A class with a latency objective of 0 no longer stops the node

Callers saw: from the first request of such a class on no PING, request or connection was served, and SIGTERM had no effect.

Cause: RequestLifecycle._review_slow scheduled itself after half the objective, which was now, and TimerQueue.run_due also ran what was scheduled during the run. 0.0001 ms did the same, since Unix milliseconds have a resolution of 0.0002.

--- a/puffindeck/config/checks.py
+++ b/puffindeck/config/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import Any, TypeVar
 
 import msgspec
@@ -10,6 +11,8 @@
 
 MAX_PORT = 65535
 MAX_DURATION_S = 1e6
+MAX_NUMBER = sys.float_info.max
+MAX_SPAN_MS = 1e12  # some 30 years; a longer span has the same effect
 Table = TypeVar("Table")
 
 
@@ -40,13 +43,20 @@
     if default is not None and isinstance(inner, dict) and inner.get(last) is None:
         return default
     value = require(table, path, where)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not minimum <= value < float("inf"):
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not minimum <= value <= MAX_NUMBER:
         raise InvalidValueError(f"{where}: {path}", f"must be a number of {minimum:g} or more")
     if exclusive and value == minimum:
         raise InvalidValueError(f"{where}: {path}", f"must be above {minimum:g}")
     return float(value)
 
 
+def span_ms(
+    table: Any, path: str, default: float | None = None, where: str = "settings", exclusive: bool = False
+) -> float:
+    """Return a span of time in milliseconds, at most MAX_SPAN_MS. Raises as `number` does."""
+    return min(MAX_SPAN_MS, number(table, path, default=default, where=where, exclusive=exclusive))
+
+
 def optional_table(table: Any, key: str) -> dict[str, Any]:
     """Return the table at a key, empty if it is missing. Raises InvalidValueError for another type."""
     inner = (table.get(key) if isinstance(table, dict) else None) or {}
@@ -62,7 +72,7 @@
     """
     numbers = table.get(key) or []
     if not isinstance(numbers, list) or not all(
-        item is None or (isinstance(item, (int, float)) and 0 <= item < float("inf")) for item in numbers
+        item is None or (isinstance(item, (int, float)) and 0 <= item <= MAX_NUMBER) for item in numbers
     ):
         raise InvalidValueError(f"settings: familyInfo.{key}", "must be a list of numbers of 0 or more")
     return [float("inf") if item is None else float(item) for item in numbers]
--- a/puffindeck/config/policy_settings.py
+++ b/puffindeck/config/policy_settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from puffindeck.config.checks import name_list, number, number_list, optional_table, require
+from puffindeck.config.checks import name_list, number, number_list, optional_table, require, span_ms
 from puffindeck.config.errors import ConfigError, InvalidValueError
 from puffindeck.interface import ClassSettings, Effect, Scope, Settings
 
@@ -21,12 +21,12 @@
     if effect not in EFFECTS or scope not in SCOPES:
         raise ConfigError(f"{at}.repeat or .group has an unknown value")
     return ClassSettings(
-        latency_objective_ms=number(table, "aimMs", where=at),
-        deadline_ms=number(table, "hardLimitMs", where=at, exclusive=True),
+        latency_objective_ms=span_ms(table, "aimMs", where=at),
+        deadline_ms=span_ms(table, "hardLimitMs", where=at, exclusive=True),
         priority_weight=number(table, "worth", default=1.0, where=at),
         effect=EFFECTS[effect],
         scope=SCOPES[scope],
-        window_ms=number(table, "keyTtlMs", default=0.0, where=at),
+        window_ms=span_ms(table, "keyTtlMs", default=0.0, where=at),
         message_latency_objective_ms=(
             message_objectives_ms[index] if index < len(message_objectives_ms) else 0.0
         ),
@@ -59,7 +59,7 @@
 def _parse_max_retry_after_ms(table: Any, limits: dict[str, Any]) -> float:
     if not limits.get("retryAfter"):
         return 0.0
-    return number(table, "limits.maxRetryAfterMs", default=0.0)
+    return span_ms(table, "limits.maxRetryAfterMs", default=0.0)
 
 
 def parse_settings(table: Any) -> Settings:
@@ -76,16 +76,16 @@
         gateways=int(number(table, "peersTotal", 1)),
         zone=int(number(table, "locality", default=0.0)),
         max_attempts=int(number(table, "limits.maxAttempts", 1)),
-        drain_grace_ms=number(table, "rules.drainGraceMs"),
-        answer_slack_ms=number(table, "rules.answerSlackMs"),
+        drain_grace_ms=span_ms(table, "rules.drainGraceMs"),
+        answer_slack_ms=span_ms(table, "rules.answerSlackMs"),
         slow_start_initial_fraction=number(table, "rules.coldFrom"),
-        slow_start_ms=number(table, "rules.warmAfterMs"),
+        slow_start_ms=span_ms(table, "rules.warmAfterMs"),
         slow_start_load_multiple=number(table, "rules.overloadFactor"),
-        slow_start_window_ms=number(table, "rules.fallMs"),
-        period_ms=number(table, "periodMs", default=1.0),
-        connect_timeout_ms=number(table, "limits.connectTimeoutMs", default=250.0),
+        slow_start_window_ms=span_ms(table, "rules.fallMs"),
+        period_ms=span_ms(table, "periodMs", default=1.0),
+        connect_timeout_ms=span_ms(table, "limits.connectTimeoutMs", default=250.0),
         must_watch_endpoints=table.get("membershipMode") == "subscribe",
-        watch_deadline_ms=number(table, "rules.askWithinMs", default=10000.0),
+        watch_deadline_ms=span_ms(table, "rules.askWithinMs", default=10000.0),
         can_cancel=bool(limits.get("cancelling", False)),
         uses_weights=table.get("weights", "silent") in ("nominal", "rough"),
         cross_zone_cost=number({"prices": prices}, "prices.crossZone", default=0.0),
--- a/puffindeck/core/timer_queue.py
+++ b/puffindeck/core/timer_queue.py
@@ -14,6 +14,7 @@
 log = Logger("puffindeck")
 
 MIN_CANCELLED = 64  # the heap is rebuilt only if more deadlines than this are cancelled
+CLOCK_RESOLUTION = timedelta.resolution
 LATE_WARNING_THRESHOLD = milliseconds(250)  # a timer that runs later than this is logged
 
 
@@ -56,13 +57,20 @@
         self._cancelled = 0  # cancelled deadlines in the heap
         self._timer: Timer | None = None
         self._timer_at = ZERO
+        self._run_at: timedelta | None = None  # the time of the run that is in progress
 
     def after(self, delay: timedelta, callback: Callable[..., Any], *args: Any) -> Deadline:
         """Call `callback` after a delay."""
         return self.at(self.clock.now() + delay, callback, *args)
 
     def at(self, due: timedelta, callback: Callable[..., Any], *args: Any) -> Deadline:
-        """Call `callback` at a time of the clock. Callbacks due at the same time run in order."""
+        """Call `callback` at a time of the clock. Callbacks due at the same time run in order.
+
+        What a callback schedules is called in a later turn of the reactor, however early it is due, so that
+        sockets are served in between.
+        """
+        if self._run_at is not None:
+            due = max(due, self._run_at + CLOCK_RESOLUTION)
         deadline = Deadline(due, callback, args)
         self._count += 1
         heappush(self._heap, (due, self._count, deadline))
@@ -88,7 +96,7 @@
             self._timer = None
 
     def _schedule_timer(self) -> None:
-        if not self._heap:
+        if not self._heap or self._run_at is not None:
             return
         first = self._heap[0][0]
         if self._timer is not None:
@@ -119,6 +127,7 @@
         self._timer = None
         now = self.clock.now()
         self._log_late(now)
+        self._run_at = now
         while self._heap and self._heap[0][0] <= now:
             deadline = heappop(self._heap)[2]
             callback, deadline.callback = deadline.callback, None
@@ -129,4 +138,5 @@
                 callback(*deadline.args)
             except Exception:
                 log.failure("callback of a deadline failed")
+        self._run_at = None
         self._schedule_timer()
--- a/puffindeck/policy/balancer.py
+++ b/puffindeck/policy/balancer.py
@@ -41,6 +41,7 @@
 
 WATCH_RETRY_MS = 250.0  # mean delay before the endpoint list is requested again after a first failure
 MAX_WATCH_RETRY_MS = 650.0
+MIN_WATCH_RETRY_MS = 50.0  # applies if the watch deadline of the settings is very short
 MAX_WATCH_BACKOFF_EXPONENT = 9
 WATCH_DEADLINE_DIVISOR = 4  # the mean delay is at most the watch deadline of the settings divided by this
 DETACH_MIGRATION_MS = 1200.0  # period over which the connections of a detached endpoint are migrated
@@ -230,7 +231,7 @@
         wait_ms = min(
             WATCH_RETRY_MS * 2 ** min(self.registry.list_failures, MAX_WATCH_BACKOFF_EXPONENT),
             MAX_WATCH_RETRY_MS,
-            context.settings.watch_deadline_ms / WATCH_DEADLINE_DIVISOR,
+            max(MIN_WATCH_RETRY_MS, context.settings.watch_deadline_ms / WATCH_DEADLINE_DIVISOR),
         )
         self.registry.list_failures += 1
         retry_at_ms = context.now_ms + wait_ms * (0.5 + context.random.random())
--- a/puffindeck/policy/capacity.py
+++ b/puffindeck/policy/capacity.py
@@ -52,7 +52,7 @@
         """Return the part of its full capacity, from 0 to 1, that an endpoint is assumed to have reached."""
         settings = self._context.settings
         age_ms = self._context.now_ms - endpoint.started_ms
-        if endpoint.started_ms <= 0 or age_ms >= settings.slow_start_ms:
+        if endpoint.started_ms <= 0 or settings.slow_start_ms <= max(0.0, age_ms):
             return 1.0
         return (
             settings.slow_start_initial_fraction
--- a/puffindeck/policy/request_lifecycle.py
+++ b/puffindeck/policy/request_lifecycle.py
@@ -29,6 +29,8 @@
 FASTER_ENDPOINTS = 2  # a slow attempt is cancelled once this many endpoints have established later attempts
 # The same number, if the slow attempt's endpoint has failed since it last succeeded.
 FASTER_ENDPOINTS_IF_FAILING = 1
+# Shortest time between two reviews of an attempt. A class may have a latency objective of 0.
+MIN_REVIEW_INTERVAL_MS = 10.0
 
 
 class SentAttempt(NamedTuple):
@@ -239,8 +241,8 @@
             self._outliers.record_failure(endpoint)
             self._context.actions.append(Cancel(request.id, number - 1))
         else:
-            retry_at_ms = self._context.now_ms + request.rules.latency_objective_ms / 2
-            self._timers.schedule(retry_at_ms, self._review_slow, sent)
+            interval_ms = max(MIN_REVIEW_INTERVAL_MS, request.rules.latency_objective_ms / 2)
+            self._timers.schedule(self._context.now_ms + interval_ms, self._review_slow, sent)
 
     def _is_too_slow(self, request: Request, endpoint: Endpoint) -> bool:
         limit = self._slow_attempt_limit
--- a/puffindeck/policy/send_rules.py
+++ b/puffindeck/policy/send_rules.py
@@ -50,7 +50,8 @@
             return False
         if endpoint.started_ms > 0:
             context = self._context
-            if context.now_ms - endpoint.started_ms < context.settings.slow_start_ms:
+            age_ms = max(0.0, context.now_ms - endpoint.started_ms)
+            if age_ms < context.settings.slow_start_ms:
                 return self._slow_start.admits(request, endpoint)
         return True
 
--- a/tests/config/test_checks.py
+++ b/tests/config/test_checks.py
@@ -5,7 +5,8 @@
 import pytest
 
 from puffindeck.config import InvalidValueError, MissingKeyError, parse_address
-from puffindeck.config.checks import number, parse_seed, require
+from puffindeck.config.checks import MAX_SPAN_MS, number, parse_seed, require, span_ms
+from puffindeck.config.durations import duration_ms
 
 
 def test_missing_key_is_named_with_its_table() -> None:
@@ -15,7 +16,7 @@
     assert str(raised.value) == "settings: rules.coldFrom is missing"
 
 
-@pytest.mark.parametrize("value", [True, "1", -1, float("inf"), float("nan"), None])
+@pytest.mark.parametrize("value", [True, "1", -1, float("inf"), float("nan"), None, 10**400])
 def test_error_for_invalid_number_has_key_and_requirement(value: object) -> None:
     with pytest.raises(InvalidValueError) as raised:
         number({"a": value}, "a")
@@ -40,3 +41,10 @@
     assert parse_seed("ff") == 255
     with pytest.raises(InvalidValueError, match=r"^seed must be a hexadecimal number, not 'x'"):
         parse_seed("x")
+
+
+# Guards against a reload that fails half way, because a span is too long to be converted.
+@pytest.mark.parametrize("value", [1e300, 10**18])
+def test_span_is_at_most_the_longest_one(value: float) -> None:
+    assert span_ms({"a": value}, "a") == MAX_SPAN_MS
+    assert duration_ms("9" * 400 + "d", "a") == MAX_SPAN_MS
--- a/tests/policy/test_timer_queue.py
+++ b/tests/policy/test_timer_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from puffindeck.policy.records import INF
 from puffindeck.policy.timer_queue import TimerQueue
 
@@ -30,3 +32,21 @@
     timers.drop_first_while(lambda name: name == "old")
     assert len(timers) == 2
     assert timers.next_due_ms() == 3.0
+
+
+# Guards against a run that never ends because a call schedules itself again for the moment of the run.
+@pytest.mark.parametrize("delay_ms", [-1.0, 0.0, 1e-9])
+def test_call_that_schedules_itself_at_once_runs_once_in_a_run(delay_ms: float) -> None:
+    timers, ran = TimerQueue(), list[str]()
+    now_ms = 1.8e12  # Unix times in milliseconds, which have a resolution of about 0.0002 ms
+
+    def run_again(name: str) -> None:
+        assert len(ran) < 10, "the run does not end"
+        ran.append(name)
+        timers.schedule(now_ms + delay_ms, run_again, name)
+
+    timers.schedule(now_ms, run_again, "again")
+    timers.schedule(now_ms, ran.append, "other")
+    timers.run_due(now_ms)
+    assert ran == ["again", "other"]
+    assert timers.next_due_ms() > now_ms
