A planned restart answers the QUIC requests that wait

Callers saw: no answer to first flights that were forwarded before SIGTERM; the process ended 0.5 s later with code 0.

Cause: GracefulShutdown looked at the TCP clients of the connection table alone, for its end and for the last answers.

Change: a shutdown has fronts beside the TCP clients. It ends early only once each is drained, and at its end each answers what waits, through Engine.abort_request. A flow in use is served until the schedule's end.

--- a/puffindeck/net/graceful_shutdown.py
+++ b/puffindeck/net/graceful_shutdown.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from puffindeck.core.clock import ZERO, milliseconds
 from puffindeck.core.engine import Engine
@@ -62,9 +62,20 @@
 )
 
 
+class DrainedFront(Protocol):
+    """A front beside the clients' TCP connections, as a shutdown uses it."""
+
+    def is_drained(self) -> bool:
+        """Return whether no request waits for its answer, and no connection is in use."""
+
+    def answer_before_stop(self) -> None:
+        """Give every request that has none its final answer."""
+
+
 class GracefulShutdown:
     """Moves every client to another node on a schedule.
 
+    `fronts` are the fronts beside the clients' TCP connections.
     `on_accept_end` is called when requests are no longer accepted; its argument is whether the process ends.
     `on_done` is called once no client is left, or at the schedule's end; if None, the process keeps running.
     """
@@ -75,6 +86,7 @@
         deadlines: TimerQueue,
         connections: ConnectionTable,
         listeners: ClientListeners,
+        fronts: Sequence[DrainedFront],
         schedule: DrainSchedule,
         on_accept_end: Callable[[bool], None],
         on_done: Callable[[], None] | None,
@@ -83,6 +95,7 @@
         self._deadlines = deadlines
         self._connections = connections
         self._listeners = listeners
+        self._fronts = fronts
         self._schedule = schedule
         self._on_done = on_done
         self.ends_process = on_done is not None
@@ -135,6 +148,10 @@
             self._listeners.close_when_empty(self.is_overdue)
         for client in list(self._connections.clients):
             client.answer_before_stop(self.ends_process)
+        for front in self._fronts:
+            front.answer_before_stop()
 
     def _is_empty(self) -> bool:
+        if not all(front.is_drained() for front in self._fronts):
+            return False
         return not self._connections.clients and self._listeners.close_when_empty(self.is_overdue)
--- a/puffindeck/net/lifecycle.py
+++ b/puffindeck/net/lifecycle.py
@@ -10,7 +10,7 @@
 from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.net.client_listeners import ClientListeners
 from puffindeck.net.connection_table import ConnectionTable
-from puffindeck.net.graceful_shutdown import DRAIN, DrainSchedule, GracefulShutdown
+from puffindeck.net.graceful_shutdown import DRAIN, DrainedFront, DrainSchedule, GracefulShutdown
 
 log = Logger("puffindeck")
 
@@ -33,6 +33,7 @@
         self._deadlines = deadlines
         self._connections = connections
         self._listeners = listeners
+        self.fronts: list[DrainedFront] = []  # the fronts beside the clients' TCP connections
         self.is_ready = False
         self.is_accepting = True  # whether requests are accepted; the port stays open longer
         self.has_ended = False
@@ -102,6 +103,7 @@
             self._deadlines,
             self._connections,
             self._listeners,
+            self.fronts,
             schedule,
             self.stop_accepting,
             on_done,
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -212,6 +212,7 @@
             lambda: self.lifecycle.shutdown is not None,
         )
         host, port = quic.listen
+        self.lifecycle.fronts.append(self.quic)
         self.quic_port = listen_datagrams(self.reactor, port, self.quic, host, MAX_DATAGRAM)
         log.info("node {name}: QUIC on {host}:{port}", name=self.config.name, host=host, port=port)
 
--- a/puffindeck/quic/flow.py
+++ b/puffindeck/quic/flow.py
@@ -24,6 +24,8 @@
 
 # A flow that was taken over ends if its client is silent for this time before the endpoint's first datagram.
 UNCONFIRMED_TIMEOUT = milliseconds(3000)
+# A flow is in use if the client or the endpoint has sent a datagram within this time.
+USE_TIMEOUT = milliseconds(1000)
 # Maximum number of datagrams of the client's first flight that are stored, to be sent again in each attempt.
 FIRST_FLIGHT_DATAGRAMS = 4
 # Minimum number of unanswered datagrams after which an endpoint can count as silent. Fewer may all be
@@ -76,6 +78,14 @@
         self._unanswered = 0  # the client's datagrams since the endpoint's last one
         self.slot = context.table.add(self, confirmed=initial is not None)
 
+    def is_unanswered(self) -> bool:
+        """Return whether the client's request waits for its final answer."""
+        return self._initial is not None and not self.established and not self._ended
+
+    def is_in_use(self, now: timedelta) -> bool:
+        """Return whether the client or the endpoint has sent a datagram in the last moments."""
+        return now - max(self._endpoint_last_seen_at, self._client_last_seen_at) < USE_TIMEOUT
+
     # Interface of the engine's client
 
     def is_waiting(self) -> bool:
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -87,6 +87,22 @@
             flow.check_timeouts(now)
         self._deadlines.after(SWEEP_INTERVAL, self._sweep)
 
+    # Shutdown
+
+    def is_drained(self) -> bool:
+        """Return whether no request waits for its answer and no flow is in use.
+
+        Clients can't be moved from here. Once their flows have ended, another node forwards their datagrams.
+        """
+        now = self._deadlines.clock.now()
+        return not any(flow.is_unanswered() or flow.is_in_use(now) for flow in self.flows)
+
+    def answer_before_stop(self) -> None:
+        """Answer every request that has no answer yet. The decision module chooses the answer."""
+        for flow in self.flows:
+            if flow.is_unanswered():
+                self._engine.abort_request(flow.request)
+
     def _report(self) -> None:
         self.dropped.report(len(self.flows))
         self._deadlines.after(REPORT_INTERVAL, self._report)
