A refused datagram proves only that the endpoint got none if it is the only one

Callers saw: each side_effect request at a QUIC server that died was run by a second server.

Cause: EndpointLink.on_refused reported CONNECT_FAILED (never ran) for every flow without a response. The refusal belonged to the client's repeated first flight; the first one had arrived. stopProtocol did the same for any error of the socket.

Change: the link counts the datagrams that the system accepted; a refusal after more than one, and any other error after one, is a reset. A socket that the reactor closes without a report is asked for its error.

--- a/puffindeck/quic/endpoint_link.py
+++ b/puffindeck/quic/endpoint_link.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from typing import Any, Protocol
 
-from twisted.internet.error import CannotListenError
+from twisted.internet.error import CannotListenError, MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 from twisted.logger import Logger
 
@@ -56,11 +58,8 @@
         self._link.on_refused()
 
     def stopProtocol(self) -> None:
-        """Treat a socket that the reactor closes as refused.
-
-        After a socket error such as an ICMP refusal, the reactor may close the socket without a report.
-        """
-        self._link.on_refused()
+        """Handle the end of the socket, which the reactor may close after an error without a report."""
+        self._link.on_socket_closing()
 
 
 class EndpointLink:
@@ -81,6 +80,7 @@
         self._dropped = dropped
         self._done = False
         self._port: Any = None
+        self._datagrams_sent = 0  # datagrams that the system has accepted
 
     def open(self, reactor: Any, directory: Directory) -> bool:
         """Open a socket to the endpoint's address. Returns False if the system provides none."""
@@ -102,9 +102,12 @@
         """Send a datagram to the endpoint."""
         if not self._done and self._port is not None:
             try:
-                self._port.write(datagram)
-            except OSError:  # a full send buffer; datagrams may be lost on any network
+                sent = self._port.write(datagram)
+            except (OSError, MessageLengthError):  # a full send buffer, for example; datagrams may be lost
                 self._dropped.count("not sent")
+                return
+            if sent is not None:  # None: the system reports the refusal of an earlier datagram instead
+                self._datagrams_sent += 1
 
     def on_datagram(self, datagram: bytes) -> None:
         """Pass a datagram from the endpoint to the flow, unless the link has ended."""
@@ -112,8 +115,23 @@
             self._flow.on_endpoint_datagram(self, datagram)
 
     def on_refused(self) -> None:
-        """End the link because the endpoint's port or the local socket is closed."""
-        self.finish(Outcome.RESET if self._flow.established else Outcome.CONNECT_FAILED)
+        """End the link because the endpoint's port is closed.
+
+        A refusal does not say which datagram it belongs to, so it proves that the endpoint got nothing
+        only if a single one was sent. After an earlier one the endpoint may have run the request.
+        """
+        got_nothing = self._datagrams_sent <= 1 and not self._flow.established
+        self.finish(Outcome.CONNECT_FAILED if got_nothing else Outcome.RESET)
+
+    def on_socket_closing(self) -> None:
+        """End the link because its socket, which is still open here, is being closed after an error."""
+        if self._done:
+            return
+        error = self._port.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error == errno.ECONNREFUSED:
+            self.on_refused()
+        else:
+            self.finish(Outcome.RESET if self._datagrams_sent else Outcome.CONNECT_FAILED)
 
     def establish(self) -> bool:
         """Report the endpoint's first valid response. Returns False if no request waits for it any longer."""
