A gRPC stream reset with RESOURCE_EXHAUSTED counts as one that may have run

Callers could see: a call that is not idempotent sent again after the server had reset its stream.

Cause: outcome_of_status took RESOURCE_EXHAUSTED for the server's own "full". gRPC core also makes it from a stream reset (ENHANCE_YOUR_CALM), of which its text says so.

Change: the texts of a reset stream are looked for first, as for INTERNAL and UNKNOWN.

Measured: the new case of test_status_outcomes fails before and passes now.

--- a/puffindeck/rpc/status_outcomes.py
+++ b/puffindeck/rpc/status_outcomes.py
@@ -10,7 +10,7 @@
 | RESOURCE_EXHAUSTED from the server, before initial metadata or a message | FULL | no |
 | UNAVAILABLE before initial metadata or a message: the server rejects the call or is gone | ERROR | yes |
 | UNAVAILABLE or RESOURCE_EXHAUSTED after them; CANCELLED that the client did not cause | RESET | yes |
-| INTERNAL or UNKNOWN, if the library's text says that the stream was reset | RESET | yes |
+| INTERNAL, UNKNOWN, RESOURCE_EXHAUSTED if the library's text says that the stream was reset | RESET | yes |
 | DEADLINE_EXCEEDED | TIMEOUT | yes |
 | any code with the trailer `puffindeck-moved`: the server migrates its client | CANCELLED | yes |
 | OK and all other codes: the application's own response | OK | yes |
@@ -47,8 +47,8 @@
         return Outcome.TIMEOUT
     if code == UNAVAILABLE:
         return Outcome.RESET if response_started else Outcome.ERROR
+    if code in (INTERNAL, UNKNOWN, RESOURCE_EXHAUSTED) and any(text in details for text in STREAM_RESET):
+        return Outcome.RESET
     if code == RESOURCE_EXHAUSTED and TOO_LARGE not in details:
         return Outcome.RESET if response_started else Outcome.FULL
-    if code in (INTERNAL, UNKNOWN) and any(text in details for text in STREAM_RESET):
-        return Outcome.RESET
     return Outcome.RESET if code == CANCELLED else Outcome.OK
--- a/tests/rpc/test_status_outcomes.py
+++ b/tests/rpc/test_status_outcomes.py
@@ -21,6 +21,7 @@
         (8, "full", False, False, Outcome.FULL),
         (8, "quota", True, False, Outcome.RESET),
         (8, "CLIENT: Received message larger than max (9 vs. 4)", False, False, Outcome.OK),
+        (8, "Received RST_STREAM with error code 11", False, False, Outcome.RESET),
         (4, "Deadline Exceeded", False, False, Outcome.TIMEOUT),
         (1, "the server gave up", False, False, Outcome.RESET),
         (13, "Received RST_STREAM with error code 2", False, False, Outcome.RESET),
