The module's memory is bounded whatever keys and time limits clients draw

Cause: TrafficShares kept an entry for each key for some 140 s and copied all at each decay. Beside it, the timer of a request's deadline stayed in the policy's queue, with the request, until the client's own time limit had passed, also when the request had long ended: a client that says it waits 71 minutes left a request in memory for as long.

Change: at most 8,192 keys are counted; beyond that the lower half is dropped, the total is not. Timers of ended requests are removed once they may be most of the queue.

--- a/puffindeck/policy/request_lifecycle.py
+++ b/puffindeck/policy/request_lifecycle.py
@@ -31,6 +31,9 @@
 FASTER_ENDPOINTS_IF_FAILING = 1
 # Shortest time between two reviews of an attempt. A class may have a latency objective of 0.
 MIN_REVIEW_INTERVAL_MS = 10.0
+# Timers of ended requests are removed each time that more requests than this, and than half of all timers, have
+# ended. Otherwise a timer would stay until its client's time limit, which may be very long.
+MIN_ENDED_REQUESTS = 1024
 
 
 class SentAttempt(NamedTuple):
@@ -45,6 +48,7 @@
 
     __slots__ = (
         "_context",
+        "_ended_requests",
         "_gates",
         "_listeners",
         "_loads",
@@ -79,6 +83,7 @@
         self._rebalancer = rebalancer
         self._placement = placement
         self._retries = retries
+        self._ended_requests = 0  # requests that have ended since timers were last removed
 
     # Events
 
@@ -293,3 +298,12 @@
         self._loads.remove_request(request)
         for listener in self._listeners:
             listener.request_removed(request)
+        self._ended_requests += 1
+        if self._ended_requests > max(MIN_ENDED_REQUESTS, len(self._timers) // 2):
+            self._ended_requests = 0
+            self._timers.remove_if(self._has_ended)
+
+    def _has_ended(self, timer_argument: object) -> bool:
+        """Return whether a timer belongs to a request that has ended."""
+        request = timer_argument.request if isinstance(timer_argument, SentAttempt) else timer_argument
+        return isinstance(request, Request) and self._requests.get(request.id) is not request
--- a/puffindeck/policy/timer_queue.py
+++ b/puffindeck/policy/timer_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import nextafter
 from typing import Any, NamedTuple
 
@@ -46,11 +46,10 @@
 
     def run_due(self, now_ms: float) -> None:
         """Run all calls that are due, including later due calls that these calls schedule."""
-        heap = self._heap
         self._run_ms = now_ms
         try:
-            while heap and heap[0].due_ms <= now_ms:
-                timer = heappop(heap)
+            while self._heap and self._heap[0].due_ms <= now_ms:
+                timer = heappop(self._heap)
                 self._running_due_ms = timer.due_ms
                 timer.callback(timer.argument)
         finally:
@@ -64,3 +63,8 @@
         """Remove the first timer for as long as its argument is obsolete."""
         while self._heap and is_obsolete(self._heap[0].argument):
             heappop(self._heap)
+
+    def remove_if(self, is_obsolete: Callable[[Any], bool]) -> None:
+        """Remove all timers whose argument is obsolete."""
+        self._heap = [timer for timer in self._heap if not is_obsolete(timer.argument)]
+        heapify(self._heap)
--- a/puffindeck/policy/traffic_shares.py
+++ b/puffindeck/policy/traffic_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from heapq import nlargest
 from typing import Protocol
 
 from puffindeck.policy.records import Request
@@ -9,6 +10,9 @@
 KEY_PRIOR = 8.0  # requests added to the total, which lowers a key's estimate while few requests were observed
 GROUP_PRIOR = 2.0  # requests added to the total for a group's estimate
 MINIMUM_COUNT = 0.1  # requests; lower counts are removed
+# Counted groups and keys, at most. Clients draw their keys, so that there may be a new one in every request.
+MAX_COUNTS = 8192
+KEPT_COUNTS = MAX_COUNTS // 2  # the highest counts, which stay when there are more
 
 
 class ShareEstimator(Protocol):
@@ -32,6 +36,13 @@
         self._total += 1
         if request.key:
             self.counts[request.key] = self.counts.get(request.key, 0.0) + 1
+            if len(self.counts) > MAX_COUNTS:
+                self._keep_highest()
+
+    def _keep_highest(self) -> None:
+        """Remove the lowest counts. The total still includes them."""
+        highest = nlargest(KEPT_COUNTS, self.counts.items(), key=lambda item: item[1])
+        self.counts = dict(highest)
 
     def decay(self, factor: float) -> None:
         """Multiply all counts by a factor under 1."""
