A request whose id comes again after a host may have run it does not run again

Cause: a node knew only the ids of its open requests, and each process its own. The QUIC front knew none: a first flight that came again after its flow had ended was placed anew.

Change: core.sent_request_ids keeps digests of the last 16,384 ids that a host may have run, recorded before the line is sent and removed if the attempt was not run. side_effect fails when it comes again, token once its window is over. The processes of an upgrade share the ids by a bounded file in the state folder.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -64,7 +64,8 @@
                 await writer.drain()
             while self._reads and (line := await reader.readline()):
                 writer.write(line)
-            await asyncio.sleep(3600)
+            if not self._reads:
+                await asyncio.sleep(3600)
         writer.close()
 
 
--- a/puffindeck/net/attempt.py
+++ b/puffindeck/net/attempt.py
@@ -23,6 +23,9 @@
     def may_reach(self, endpoint: int) -> bool:
         """Return whether the request's line may be sent to the endpoint at this moment."""
 
+    def before_send(self, link: UpstreamConnection) -> None:
+        """Handle that the first byte of the request's line is about to be sent."""
+
     def on_up(self, link: UpstreamConnection) -> bool:
         """Hand over an accepted connection. Returns False if the client no longer waits for it."""
 
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -59,11 +59,18 @@
                 raise RequestLineError(f"unknown class {head.cls[:40]!r}")
             if head.id in self.services.connections.open_ids:  # hosts would confuse the two requests
                 raise RequestLineError("the id is in use by an open request")
+            if not head.restore_host:
+                self._check_not_run_before(head)
         except RequestLineError as error:
             self.reject_line(str(error))
             return
         self._submit_request(head, cls)
 
+    def _check_not_run_before(self, head: RequestLine) -> None:
+        """Raise RequestLineError if a host may have run the request and would run it again."""
+        if self.services.sent_ids.must_not_run(head.id, self.services.rules_of(head)):
+            raise RequestLineError("a request with this id may have run, and must not run again")
+
     def _await_readiness(self) -> None:
         """Answer a PING once readiness is known. Until then the client may be evicted."""
         self._unanswered_pings += 1
--- a/puffindeck/net/client_services.py
+++ b/puffindeck/net/client_services.py
@@ -9,13 +9,15 @@
 
 from puffindeck.config import NodeConfig
 from puffindeck.core.engine import Engine
+from puffindeck.core.sent_request_ids import SentRequestIds
 from puffindeck.core.timer_queue import TimerQueue
-from puffindeck.interface import Outcome
+from puffindeck.interface import ClassSettings, Outcome
 from puffindeck.net.admission import AdmissionControl
 from puffindeck.net.attempt import Attempt, AttemptOwner, RelayedClient
 from puffindeck.net.connection_table import ConnectionTable
 from puffindeck.net.lifecycle import Lifecycle
 from puffindeck.net.logs import RateLimitedLog
+from puffindeck.net.request_line import RequestLine
 from puffindeck.net.request_log import RequestLog
 from puffindeck.net.served_classes import ServedClasses
 from puffindeck.net.upstream_connection import UpstreamConnection
@@ -34,6 +36,7 @@
     directory: Directory
     classes: ServedClasses
     connections: ConnectionTable
+    sent_ids: SentRequestIds
     admission: AdmissionControl
     lifecycle: Lifecycle
     request_log: RequestLog
@@ -41,6 +44,10 @@
     wall_clock: WallClock
     connect_timeout: timedelta  # time limit for the connect of one attempt; a reload may change it
 
+    def rules_of(self, head: RequestLine) -> ClassSettings:
+        """Return the rules of a request's class, which must be served."""
+        return self.engine.settings.classes[self.classes.numbers[head.cls]]
+
     def open_link(self, attempt: Attempt, owner: AttemptOwner, client: RelayedClient) -> UpstreamConnection:
         """Return the connection of an attempt, which `connect` connects."""
         return UpstreamConnection(attempt, owner, client, self.engine, self.deadlines)
--- a/puffindeck/net/node.py
+++ b/puffindeck/net/node.py
@@ -11,6 +11,7 @@
 from puffindeck.core.clock import Clock, milliseconds
 from puffindeck.core.datagram_port import DatagramPort, listen_datagrams
 from puffindeck.core.engine import Engine
+from puffindeck.core.sent_request_ids import SentRequestIds
 from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.interface import ListUpdateKind, Settings
 from puffindeck.net.admin_api import MAX_CALLERS, AdminApi
@@ -33,6 +34,7 @@
 from puffindeck.net.process_registry import ProcessRegistry
 from puffindeck.net.request_log import RequestLog
 from puffindeck.net.served_classes import ServedClasses
+from puffindeck.net.shared_id_file import SharedIdFile
 from puffindeck.net.silence_monitor import SilenceMonitor
 from puffindeck.net.wall_clock import WallClock
 from puffindeck.service_discovery.directory import Directory
@@ -56,6 +58,7 @@
         self.directory = Directory(config.settings.zones, config.settings.kinds)
         self.classes = ServedClasses(config.settings.classes, self.deadlines)
         self.connections = ConnectionTable()
+        self.sent_ids = SentRequestIds()
         self.admin_port: Port | None = None
         self.quic: QuicFront | None = None
         self.quic_port: DatagramPort | None = None
@@ -96,6 +99,7 @@
             directory=self.directory,
             classes=self.classes,
             connections=self.connections,
+            sent_ids=self.sent_ids,
             admission=self.admission,
             lifecycle=self.lifecycle,
             request_log=self._request_log,
@@ -156,6 +160,7 @@
             self.listeners.open_main(config.listen)
         else:
             self.hot_restart.join()
+            self._share_request_ids()
         self._open_named_listeners()
         entries = self.directory.entries(config.file_endpoints, self.deadlines.clock.now())
         self.engine.update_endpoints(ListUpdateKind.CACHED, config.file_endpoints.rev, entries)
@@ -178,6 +183,11 @@
             count=self.admission.descriptors,
         )
 
+    def _share_request_ids(self) -> None:
+        """Share the ids of sent requests with the other processes of this node."""
+        errors = RateLimitedLog(log, self.deadlines, "upgrade: request ids can't be shared")
+        self.sent_ids.share(SharedIdFile(self.config.state_folder / "ids", errors))
+
     def _open_named_listeners(self) -> None:
         for name, address in self.config.routing.listeners.items() if self.config.routing else ():
             port = self.listeners.open_named(name, address)
@@ -209,6 +219,7 @@
             self.engine,
             self.deadlines,
             self.directory,
+            self.sent_ids,
             lambda: self.lifecycle.shutdown is not None,
         )
         host, port = quic.listen
--- a/puffindeck/net/upstream_attempts.py
+++ b/puffindeck/net/upstream_attempts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from puffindeck.core.requests import AttemptId, UpstreamLink
+from puffindeck.core.sent_request_ids import RequestIdRecorder
 from puffindeck.interface import Outcome
 from puffindeck.net.attempt import Attempt
 from puffindeck.net.upstream_connection import UpstreamConnection
@@ -22,6 +23,7 @@
         self._client = client
         self._services = services
         self._engine = services.engine
+        self._id_recorder: RequestIdRecorder | None = None  # None until the first attempt
 
     def start(
         self, attempt_id: AttemptId, endpoint: int, until: timedelta, begin: timedelta
@@ -48,6 +50,15 @@
         """Return whether new work may still be sent to the host."""
         return self._engine.may_reach(endpoint)
 
+    def before_send(self, link: UpstreamConnection) -> None:
+        """Record the request's id, so that the request is not run again if it comes again."""
+        head = self._client.head
+        assert head is not None
+        if self._id_recorder is None:
+            rules = self._services.rules_of(head)
+            self._id_recorder = RequestIdRecorder(self._services.sent_ids, head.id, rules)
+        self._id_recorder.before_send(link.attempt_id)
+
     def on_closed(self, link: UpstreamConnection) -> None:
         """Remove a connection whose descriptor is released."""
         self._services.connections.upstreams.discard(link)
@@ -58,4 +69,6 @@
 
     def on_ended(self, link: UpstreamConnection, outcome: Outcome) -> None:
         """Report the end of an attempt or of the connection that it became."""
+        if self._id_recorder is not None:
+            self._id_recorder.after_attempt(link.attempt_id, outcome)
         self._engine.attempt_ended(link.attempt_id, outcome)
--- a/puffindeck/net/upstream_connection.py
+++ b/puffindeck/net/upstream_connection.py
@@ -110,6 +110,7 @@
         if self._deadlines.clock.now() >= self._start_deadline:
             self.finish(Outcome.CONNECT_FAILED)
             return
+        self._owner.before_send(self)
         protocol.send_head()
 
     def on_head_sent(self) -> None:
--- a/puffindeck/policy/request_lifecycle.py
+++ b/puffindeck/policy/request_lifecycle.py
@@ -31,8 +31,8 @@
 FASTER_ENDPOINTS_IF_FAILING = 1
 # Shortest time between two reviews of an attempt. A class may have a latency objective of 0.
 MIN_REVIEW_INTERVAL_MS = 10.0
-# Timers of ended requests are removed each time that more requests than this, and than half of all timers, have
-# ended. Otherwise a timer would stay until its client's time limit, which may be very long.
+# Timers of ended requests are removed each time that more requests than this, and than half of all timers,
+# have ended. Otherwise a timer would stay until its client's time limit, which may be very long.
 MIN_ENDED_REQUESTS = 1024
 
 
--- a/puffindeck/quic/endpoint_link.py
+++ b/puffindeck/quic/endpoint_link.py
@@ -31,7 +31,7 @@
     def on_endpoint_datagram(self, link: EndpointLink, datagram: bytes) -> None:
         """Handle a datagram from the endpoint."""
 
-    def on_link_ended(self) -> None:
+    def on_link_ended(self, attempt_id: AttemptId, outcome: Outcome) -> None:
         """Handle the end of the link. An established flow ends too."""
 
 
@@ -141,7 +141,7 @@
         """End the link and report its outcome, once."""
         if not self._done:
             self.abandon()
-            self._flow.on_link_ended()
+            self._flow.on_link_ended(self._attempt_id, outcome)
             self._engine.attempt_ended(self._attempt_id, outcome)
 
     def read_available(self) -> None:
--- a/puffindeck/quic/flow.py
+++ b/puffindeck/quic/flow.py
@@ -12,6 +12,7 @@
 from puffindeck.core.clock import ZERO, Clock, milliseconds, to_ms
 from puffindeck.core.engine import Engine
 from puffindeck.core.requests import AttemptId, UpstreamLink
+from puffindeck.core.sent_request_ids import RequestIdRecorder
 from puffindeck.interface import Outcome
 from puffindeck.quic import packets
 from puffindeck.quic.dropped_datagrams import DroppedDatagrams
@@ -58,13 +59,21 @@
     from another address or through another node.
     """
 
-    def __init__(self, context: FlowContext, address: Address, initial: Packet | None) -> None:
+    def __init__(
+        self,
+        context: FlowContext,
+        address: Address,
+        initial: Packet | None,
+        id_recorder: RequestIdRecorder | None = None,
+    ) -> None:
+        """`id_recorder` records that the request is sent; None for a flow that was taken over."""
         self.address = address
         self.link: EndpointLink | None = None
         self.established = False
         self.request = 0  # the engine's number of the request
         self._context = context
         self._initial = initial
+        self._id_recorder = id_recorder
         self._ended = False
         self._address_validated = False  # whether the client has proved that it receives at `address`
         self._octets_received = 0  # from the client's address
@@ -108,6 +117,8 @@
             link.finish(Outcome.NO_RESOURCE)
             return None
         self.link = link
+        if self._id_recorder is not None:
+            self._id_recorder.before_send(attempt_id)
         for datagram in self._first_flight:
             link.send(datagram)
         return link
@@ -242,9 +253,11 @@
         if link is not None:
             link.finish(outcome)
 
-    def on_link_ended(self) -> None:
+    def on_link_ended(self, attempt_id: AttemptId, outcome: Outcome) -> None:
         """Handle the end of the link. An established flow ends too; any other waits for its next attempt."""
         self.link = None
+        if self._id_recorder is not None:
+            self._id_recorder.after_attempt(attempt_id, outcome)
         if self.established:
             self.end()
 
--- a/puffindeck/quic/front.py
+++ b/puffindeck/quic/front.py
@@ -24,6 +24,7 @@
 from puffindeck.core.clock import ZERO, milliseconds
 from puffindeck.core.engine import Engine
 from puffindeck.core.requests import Request
+from puffindeck.core.sent_request_ids import RequestIdRecorder, SentRequestIds
 from puffindeck.core.timer_queue import TimerQueue
 from puffindeck.interface import ConnectionInfo, Outcome
 from puffindeck.quic import packets
@@ -54,6 +55,7 @@
         engine: Engine,
         deadlines: TimerQueue,
         directory: Directory,
+        sent_ids: SentRequestIds,
         stopping: Callable[[], bool],
     ) -> None:
         """`stopping` returns whether the node is shutting down and accepts no new connections."""
@@ -61,6 +63,7 @@
         self._engine = engine
         self._deadlines = deadlines
         self._directory = directory
+        self._sent_ids = sent_ids
         self._stopping = stopping
         self._ids = ConnectionIds(config.config_id, config.server_id_length, config.nonce_length, config.key)
         self._host_by_server_id = dict(config.uid_by_server_id)
@@ -174,7 +177,14 @@
             self._write(packets.connection_close(packet, packets.CONNECTION_REFUSED, "busy"), address)
             self.dropped.count("refused: no room")
             return
-        flow = Flow(self._context, address, packet)
+        id = packet.destination_id + packet.source_id
+        rules = self._engine.settings.classes[self._config.class_number]
+        if self._sent_ids.must_not_run(id, rules):
+            self._write(packets.connection_close(packet, packets.INTERNAL_ERROR, "failed"), address)
+            self.dropped.count("may have run before")
+            return
+        recorder = RequestIdRecorder(self._sent_ids, id, rules)
+        flow = Flow(self._context, address, packet, recorder)
         self.flows.add_id(flow, packet.destination_id)
         flow.on_client_datagram(packet, datagram)
         flow.request = self._engine.request(flow, self._request(address, self._config.deadline))
--- a/tests/quic/test_endpoint_link.py
+++ b/tests/quic/test_endpoint_link.py
@@ -32,7 +32,7 @@
 
     established = False
 
-    def on_link_ended(self) -> None:
+    def on_link_ended(self, attempt_id: Any, outcome: Outcome) -> None:
         """Do nothing."""
 
 
@@ -103,3 +103,17 @@
         for _ in range(4):
             _, uid = await self.connect_and_echo()
             self.assertEqual(uid, "h1")
+
+    # Guards against a request that runs twice because its first flight comes again after its flow has ended.
+    async def test_request_that_has_failed_is_not_sent_when_its_first_flight_comes_again(self) -> None:
+        self.build_quic(deadline=300.0, classes=(NOT_IDEMPOTENT,))
+        for server in self.servers.values():
+            server.silent = True
+        client = self.connect()
+        await self.wait_until(lambda: client.events_of(events.ConnectionTerminated), "the answer")
+        received = [datagram for server in self.servers.values() for datagram in server.received]
+        answers = len(client.received)
+        client.transport.write(received[0], ("127.0.0.1", self.front_port))
+        await self.wait_until(lambda: len(client.received) > answers, "the second answer")
+        self.assertEqual([d for server in self.servers.values() for d in server.received], received)
+        self.assertFalse(len(self.front.flows))
