A connection holds a quarter of the memory if its peer does not read or stops within a line

Cause: each read allocated 64 KiB and shrank the buffer to the data; the rest could hold no other such buffer while the data was kept. The library's limit of pending output, 64 KiB, held up to 128 KiB for each direction of a relay.

Change: all connections are read into one buffer, from which the data is copied; reads and pending output are limited to 16 KiB.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -25,10 +25,10 @@
 from benchmarks.table import table
 from puffindeck_faults.clients import RequestClass
 from puffindeck_faults.node_settings import node_settings
-from puffindeck_testing.ports import free_port
+from puffindeck_testing.ports import free_port, own_address
 
 ROOT = Path(__file__).resolve().parents[1]
-ADDRESS = "127.0.0.1"
+ADDRESS = own_address()  # of this process, so that parallel runs share no ports
 HOSTS = 3
 CLASS = RequestClass("chat", 3000)
 SOUND_CLIENTS = 8
@@ -134,6 +134,7 @@
 class NodePorts(NamedTuple):
     """Where a node listens for clients and for operators."""
 
+    address: str
     port: int
     operator_port: int
 
@@ -168,7 +169,7 @@
 
 async def connect(node: NodePorts) -> Connection:
     """Connect to the node's clients' port."""
-    return await asyncio.open_connection(ADDRESS, node.port, limit=1 << 16)
+    return await asyncio.open_connection(node.address, node.port, limit=1 << 16)
 
 
 async def slow_line(node: NodePorts) -> None:
@@ -264,7 +265,7 @@
 
 async def operator_head(node: NodePorts) -> None:
     """Send a long HTTP head to the operators' port in pieces, and stop half way through."""
-    _, writer = await asyncio.open_connection(ADDRESS, node.operator_port)
+    _, writer = await asyncio.open_connection(node.address, node.operator_port)
     writer.write(b"GET /_ready HTTP/1.1\r\n")
     for _ in range(40):
         writer.write(b"a: " + b"b" * 60000 + b"\r\n")
@@ -328,7 +329,7 @@
         start_mb = peak_mb = node.memory_mb()
         sound = SoundClients(node.port)
         tasks = [asyncio.ensure_future(sound.run()) for _ in range(SOUND_CLIENTS)]
-        ports = NodePorts(node.port, node.operator_port)
+        ports = NodePorts(ADDRESS, node.port, node.operator_port)
         bad_clients = get_context("spawn").Process(
             target=run_bad_clients, args=(scenario.__name__, ports, arguments.clients)
         )
--- a/puffindeck/net/transports.py
+++ b/puffindeck/net/transports.py
@@ -1,28 +1,35 @@
-"""TCP transports that survive a temporary shortage of memory or socket buffers."""
+"""TCP transports that use little memory, and survive a temporary shortage of memory or socket buffers."""
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Final
 
 from twisted.internet import main, tcp
 
 from puffindeck.core.local_resource_errors import TRANSIENT
 
+# Octets read at once, and octets of pending output beyond which the other side is no longer read. Both limit
+# what a connection holds whose peer does not read.
+BUFFER_OCTETS: Final = 1 << 14
+# All connections are read into this buffer, from which the data is copied. A buffer of its own for each read
+# would be shrunk to the data, and the rest of its memory could hold no other buffer while the data is kept.
+_read_buffer = memoryview(bytearray(BUFFER_OCTETS))
 
-class _TransientErrors:
-    """Reads and writes like the library's transports, but ignores transient errors."""
+
+class _BoundedTransport:
+    """Reads and writes like the library's transports, with small buffers, and ignores transient errors."""
 
     socket: Any
-    bufferSize: int
+    bufferSize = BUFFER_OCTETS
     SEND_LIMIT: int
 
     def doRead(self) -> Any:
         """Read received data; returns an error or the end of file for the reactor to handle."""
         try:
-            data = self.socket.recv(self.bufferSize)
+            count = self.socket.recv_into(_read_buffer)
         except OSError as error:
             return None if error.errno in TRANSIENT else main.CONNECTION_LOST
-        return self._dataReceived(data)  # type: ignore[attr-defined]
+        return self._dataReceived(bytes(_read_buffer[:count]))  # type: ignore[attr-defined]
 
     def writeSomeData(self, data: bytes) -> Any:
         """Write what the system accepts. Returns the number of bytes, or an error for the reactor."""
@@ -32,11 +39,11 @@
             return 0 if error.errno in TRANSIENT else main.CONNECTION_LOST
 
 
-class ClientTransport(_TransientErrors, tcp.Server):
+class ClientTransport(_BoundedTransport, tcp.Server):
     """The transport of an accepted connection."""
 
 
-class UpstreamTransport(_TransientErrors, tcp.Client):
+class UpstreamTransport(_BoundedTransport, tcp.Client):
     """The transport of a connection to a host."""
 
 
