--- a/puffindeck/policy/request_lifecycle.py
+++ b/puffindeck/policy/request_lifecycle.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from puffindeck.interface import (
     NOT_PROCESSED,
     AttemptEnded,
@@ -24,25 +22,14 @@
 from puffindeck.policy.rebalancing import Rebalancer
 from puffindeck.policy.records import INF, Endpoint, Request
 from puffindeck.policy.retry_policy import RETRY_MS, RetryPolicy
+from puffindeck.policy.slow_attempts import SentAttempt, SlowAttemptReview
 from puffindeck.policy.strategies import GatewayState, Strategies, Verdict
 
-FASTER_ENDPOINTS = 2  # a slow attempt is cancelled once this many endpoints have established later attempts
-# The same number, if the slow attempt's endpoint has failed since it last succeeded.
-FASTER_ENDPOINTS_IF_FAILING = 1
-# Shortest time between two reviews of an attempt. A class may have a latency objective of 0.
-MIN_REVIEW_INTERVAL_MS = 10.0
 # Timers of ended requests are removed each time that more requests than this, and than half of all timers,
 # have ended. Otherwise a timer would stay until its client's time limit, which may be very long.
 MIN_ENDED_REQUESTS = 1024
 
 
-class SentAttempt(NamedTuple):
-    """A pending attempt that is due for a review."""
-
-    request: Request
-    number: int  # number of the attempt within the request, from 1
-
-
 class RequestLifecycle:
     """Decides when a request is sent, retried, rejected or failed."""
 
@@ -57,7 +44,7 @@
         "_rebalancer",
         "_requests",
         "_retries",
-        "_slow_attempt_limit",
+        "_slow_attempts",
         "_state",
         "_timers",
     )
@@ -78,8 +65,8 @@
         self._loads = state.loads
         self._gates = strategies.gates
         self._listeners = strategies.listeners
-        self._slow_attempt_limit = strategies.slow_attempt_limit
         self._outliers = outliers
+        self._slow_attempts = SlowAttemptReview(state, outliers, strategies.slow_attempt_limit)
         self._rebalancer = rebalancer
         self._placement = placement
         self._retries = retries
@@ -217,9 +204,7 @@
         now_ms = self._context.now_ms
         timeout_ms = self._retries.attempt_timeout_ms(request)
         if self._context.settings.can_cancel and self._retries.can_retry_after_slow_attempt(request):
-            # The review finds out whether this endpoint alone is slow.
-            sent = SentAttempt(request, request.attempts + 1)
-            self._timers.schedule(now_ms + request.rules.latency_objective_ms, self._review_slow, sent)
+            self._slow_attempts.schedule_review(request)
         if endpoint.started_ms > 0 and self._state.capacities.warmth(endpoint) < 1.0:
             self._state.slow_start.charge(request, endpoint)
         start_within_ms = self._retries.start_within_ms(request)
@@ -233,31 +218,6 @@
         self._loads.begin_attempt(request, endpoint)
         self._context.actions.append(Send(request.id, endpoint.id, timeout_ms, start_within_ms))
 
-    def _review_slow(self, sent: SentAttempt) -> None:
-        """Cancel a slow attempt if attempts that were sent later have been established meanwhile.
-
-        While all endpoints are slow, a cancelled attempt would be wasted work, and its retry would add more.
-        """
-        request, number = sent
-        endpoint = request.endpoint
-        if request.attempts != number or request.established or request.answered or endpoint is None:
-            return
-        if self._is_too_slow(request, endpoint):
-            self._outliers.record_failure(endpoint)
-            self._context.actions.append(Cancel(request.id, number - 1))
-        else:
-            interval_ms = max(MIN_REVIEW_INTERVAL_MS, request.rules.latency_objective_ms / 2)
-            self._timers.schedule(self._context.now_ms + interval_ms, self._review_slow, sent)
-
-    def _is_too_slow(self, request: Request, endpoint: Endpoint) -> bool:
-        limit = self._slow_attempt_limit
-        if limit is not None and self._context.now_ms >= limit.give_up_ms(request):
-            return True
-        if endpoint.newest_established_sent_ms >= request.sent_ms:
-            return False
-        endpoints_needed = FASTER_ENDPOINTS_IF_FAILING if endpoint.consecutive_failures else FASTER_ENDPOINTS
-        return self._outliers.count_faster_endpoints(request.sent_ms) >= endpoints_needed
-
     def _retry(self, request: Request, outcome: Outcome) -> None:
         if outcome == Outcome.NO_RESOURCE:
             self._timers.schedule(self._context.now_ms + RETRY_MS, self._place, request)
--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from datetime import timedelta
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 import grpc
 from grpc.aio import AioRpcError, Metadata
@@ -12,13 +12,11 @@
 from puffindeck.core.clock import ZERO, milliseconds
 from puffindeck.core.requests import AttemptId
 from puffindeck.interface import Outcome
+from puffindeck.rpc.attempt_owner import AttemptOwner
 from puffindeck.rpc.library_call import LibraryCall
-from puffindeck.rpc.method import Method
 from puffindeck.rpc.replay_buffer import END_OF_REQUESTS, ReplayBuffer
-from puffindeck.rpc.shared_state import SharedState
 from puffindeck.rpc.status import MIGRATED_TRAILER, PUSHBACK_TRAILER, FinalStatus
 from puffindeck.rpc.status_outcomes import outcome_of_status
-from puffindeck.rpc.subchannel_pool import Subchannel, SubchannelPool
 
 # How long to wait for the status after empty initial metadata. grpc.aio reports a Trailers-Only response as
 # empty initial metadata that is followed at once by the status.
@@ -28,47 +26,6 @@
 NO_RESPONSE: Final[Any] = object()  # marks that no response has been received yet
 
 
-class AttemptOwner(Protocol):
-    """The part of a call that its attempts use."""
-
-    @property
-    def shared(self) -> SharedState:
-        """The engine, clock and event loop of the call's channel."""
-
-    @property
-    def pool(self) -> SubchannelPool:
-        """The channel's connections to servers."""
-
-    @property
-    def method(self) -> Method:
-        """The method being called."""
-
-    @property
-    def replay_buffer(self) -> ReplayBuffer | None:
-        """The messages to send; None if the request is a single message."""
-
-    def start(self, subchannel: Subchannel) -> LibraryCall:
-        """Start a grpc.aio call on the channel to one server."""
-
-    def is_served_by(self, attempt: Attempt) -> bool:
-        """Return whether the call is established at this attempt's server."""
-
-    def on_response(self) -> None:
-        """Handle the single response of the attempt that serves the call."""
-
-    def record_status(self, status: FinalStatus) -> None:
-        """Store a server's status that does not end the call."""
-
-    def finish(self, status: FinalStatus) -> None:
-        """End the call with its one final status."""
-
-    def release(self) -> None:
-        """Notify the engine that the call no longer waits for a response."""
-
-    def abort(self, error: Exception) -> None:
-        """End the call with an error that the application's own code raised."""
-
-
 class Attempt:
     """Connects, sends the request and reports the outcome to the engine.
 
