The timer queue leaves its run also when a callback ends the program

Cause: since deadlines that callbacks set wait for a later turn, the queue marks its run; SystemExit or KeyboardInterrupt from a callback would have left the mark, and no timer would have been set any more. Found by reading, not seen.

Change: the mark is removed and the timer set in a finally block.

Measured: tests/core and three files of tests/net pass.

--- a/puffindeck/core/timer_queue.py
+++ b/puffindeck/core/timer_queue.py
@@ -128,6 +128,13 @@
         now = self.clock.now()
         self._log_late(now)
         self._run_at = now
+        try:
+            self._call_due(now)
+        finally:
+            self._run_at = None
+            self._schedule_timer()
+
+    def _call_due(self, now: timedelta) -> None:
         while self._heap and self._heap[0][0] <= now:
             deadline = heappop(self._heap)[2]
             callback, deadline.callback = deadline.callback, None
@@ -138,5 +145,3 @@
                 callback(*deadline.args)
             except Exception:
                 log.failure("callback of a deadline failed")
-        self._run_at = None
-        self._schedule_timer()
