A test holds that the timer queue goes on after a callback that ends the program

No change of what the product does.

Measured: the test fails on the queue before (1 failed, 1 passed) and passes now.

--- a/puffindeck/core/sent_request_ids.py
+++ b/puffindeck/core/sent_request_ids.py
@@ -11,7 +11,7 @@
 from puffindeck.core.requests import AttemptId
 from puffindeck.interface import NOT_PROCESSED, ClassSettings, Effect, Outcome
 
-MAX_IDS = 16384  # the most recent ids are kept
+MAX_IDS = 16384  # only the most recent ids are recorded
 DIGEST_OCTETS = 8
 NEVER = 0.0  # before every time of the machine's monotonic clock
 
--- a/tests/core/test_timer_queue.py
+++ b/tests/core/test_timer_queue.py
@@ -4,6 +4,7 @@
 
 from datetime import timedelta
 
+import pytest
 from twisted.internet.task import Clock as FakeTimers
 
 from puffindeck.core.clock import ZERO, Clock, milliseconds
@@ -11,7 +12,7 @@
 
 
 class StoppedClock(Clock):
-    """A clock that moves only when it is told to."""
+    """A clock that moves only when a test moves it."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -38,3 +39,19 @@
     clock.time += milliseconds(1)
     timers.advance(0.001)
     assert calls == ["again", "other", "again"]
+
+
+# Guards against a queue that sets no timer any more after a callback that ends the program.
+def test_queue_goes_on_after_a_callback_that_ends_the_program() -> None:
+    clock, timers, calls = StoppedClock(), FakeTimers(), list[str]()
+    queue = TimerQueue(clock, timers)
+
+    def end_program() -> None:
+        raise SystemExit
+
+    queue.at(clock.now(), end_program)
+    with pytest.raises(SystemExit):
+        timers.advance(0)
+    queue.at(clock.now(), calls.append, "later")
+    timers.advance(0)
+    assert calls == ["later"]
