A gRPC call keeps its server's status if the server ends it while the client writes

Callers saw: INTERNAL ("Internal error from Core") on a call with a request stream that its server had ended with another status. The attempt counted as answered, was not retried, and a migration's trailer was lost.

Cause: Call._write of grpc.aio sets a status of its own when gRPC core takes no message, and keeps the first status it gets. The server's comes just after it. Checked: the status stays INTERNAL however long one waits; a plain channel without the plug-in shows it in 31 of 40 calls. Ruled out: the plug-in's own abort (its text is another one).

Change: calls with a request stream leave out grpc.aio's own status and wait for the one that gRPC core reports. A grpc.aio without the attribute goes on as before, and its status then counts as a reset stream in place of an answer.

--- a/puffindeck/rpc/balanced_call.py
+++ b/puffindeck/rpc/balanced_call.py
@@ -23,6 +23,7 @@
 from puffindeck.rpc.shared_state import SharedState
 from puffindeck.rpc.status import CANCELLED, MIGRATED, OK, TOO_MANY_CALLS, FinalStatus, failed, rejected
 from puffindeck.rpc.subchannel_pool import Subchannel, SubchannelPool
+from puffindeck.rpc.write_errors import keep_status_after_failed_write
 
 CONNECTION_INFO = ConnectionInfo(listener="rpc")  # routes can match on this and on the request class
 READY_POLL_INTERVAL = milliseconds(50)  # minimum time between two placements of a `wait_for_ready` call
@@ -178,6 +179,7 @@
         library_call: LibraryCall
         if method.request_stream:
             library_call = multicallable(**keywords)
+            keep_status_after_failed_write(library_call)
         else:
             library_call = multicallable(self._request, **keywords)
         return library_call
--- a/puffindeck/rpc/status_outcomes.py
+++ b/puffindeck/rpc/status_outcomes.py
@@ -11,6 +11,7 @@
 | UNAVAILABLE before initial metadata or a message: the server rejects the call or is gone | ERROR | yes |
 | UNAVAILABLE or RESOURCE_EXHAUSTED after them; CANCELLED that the client did not cause | RESET | yes |
 | INTERNAL, UNKNOWN, RESOURCE_EXHAUSTED if the library's text says that the stream was reset | RESET | yes |
+| INTERNAL if the library's text says that it could not send a message | RESET | yes |
 | DEADLINE_EXCEEDED | TIMEOUT | yes |
 | any code with the trailer `puffindeck-moved`: the server migrates its client | CANCELLED | yes |
 | OK and all other codes: the application's own response | OK | yes |
@@ -28,7 +29,8 @@
 INTERNAL = 13
 UNAVAILABLE = 14
 
-STREAM_RESET = ("RST_STREAM", "Stream removed")  # texts of gRPC core for a stream that the transport ended
+# Texts of gRPC core for a stream that the transport ended, and of grpc.aio for a message not sent
+STREAM_RESET = ("RST_STREAM", "Stream removed", "Internal error from Core")
 # Text of gRPC core for a message over the size limit. Such a message fails alike at every server.
 TOO_LARGE = "message larger than max"
 
--- a/tests/rpc/test_status_outcomes.py
+++ b/tests/rpc/test_status_outcomes.py
@@ -25,6 +25,7 @@
         (4, "Deadline Exceeded", False, False, Outcome.TIMEOUT),
         (1, "the server gave up", False, False, Outcome.RESET),
         (13, "Received RST_STREAM with error code 2", False, False, Outcome.RESET),
+        (13, "Internal error from Core", False, False, Outcome.RESET),
         (13, "a fault of the application", False, False, Outcome.OK),
         (2, "Stream removed", True, False, Outcome.RESET),
         (2, "an exception", False, False, Outcome.OK),
