No attempt begins for a client that has closed behind unread input

Cause: peer_has_closed (net/closing.py) peeked at one octet and took a client with any unread input for present. A close behind that input is not visible by a peek.

Change: unread input ends the wait too (has_unread_event). It is out of order before the answer, and is answered ERR when read.

--- a/puffindeck/net/client_connection.py
+++ b/puffindeck/net/client_connection.py
@@ -10,7 +10,7 @@
 from puffindeck.core.clock import ZERO, milliseconds, to_ms
 from puffindeck.core.request_observer import Reason
 from puffindeck.core.timer_queue import Deadline
-from puffindeck.net.closing import LINGER_TIMEOUT, drain_receive_buffer, end_sending, peer_has_closed
+from puffindeck.net.closing import LINGER_TIMEOUT, drain_receive_buffer, end_sending, has_unread_event
 from puffindeck.net.connection_state import (
     CAN_TIME_OUT,
     FINISHED,
@@ -83,9 +83,10 @@
     def is_waiting(self) -> bool:
         """Return whether the client waits for its answer.
 
-        Also False if the client has closed, but the reactor has not processed the close yet.
+        Also False if the client has closed, or sent more than its line, and the reactor has not processed
+        this yet. A client that sent more may have closed behind it, and is answered ERR otherwise.
         """
-        return self.state is ConnectionState.WAITING and not peer_has_closed(self.transport)
+        return self.state is ConnectionState.WAITING and not has_unread_event(self.transport)
 
     # Final answers
 
--- a/puffindeck/net/closing.py
+++ b/puffindeck/net/closing.py
@@ -40,14 +40,18 @@
     flush(transport)
 
 
-def peer_has_closed(transport: Any) -> bool:
-    """Return whether the peer has closed or reset the connection, even if the reactor has not noticed yet."""
+def has_unread_event(transport: Any) -> bool:
+    """Return whether the peer has sent, closed or reset, and the reactor has not noticed yet.
+
+    Unread input hides a close behind it, which may not even have left the peer's system.
+    """
     if not transport.connected:
         return True
     try:
-        return not transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except OSError as error:
         return error.errno not in TRANSIENT
+    return True
 
 
 def close(transport: Any, deadlines: TimerQueue, connected: Callable[[], bool]) -> None:
--- a/tests/net/test_upstream_attempts.py
+++ b/tests/net/test_upstream_attempts.py
@@ -16,6 +16,8 @@
 from puffindeck.net.upstream_protocol import UpstreamProtocol
 from tests.support.raw_client_test_case import CHAT, REQUEST, RawClientTestCase
 
+UNREAD_INPUT = b"x" * 20_000  # octets that a client sends behind its line
+
 
 class ClientDisconnectTests(RawClientTestCase):
     """Clients that have closed before the reactor notices."""
@@ -52,6 +54,50 @@
         self.assertEqual([e.outcome for e in self.recorded_events(AttemptEnded)], [Outcome.CANCELLED])
         self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
 
+    # Guards against an attempt for a client that has closed with input that the node has not read yet.
+    async def test_no_byte_is_sent_if_the_client_closed_behind_unread_input(self) -> None:
+        self.build()
+        sock, protocol = await self.connect_accepted()
+
+        def send_and_close() -> None:
+            sock.sendall(UNREAD_INPUT)
+            sock.close()
+
+        with self.at_connect(send_and_close):
+            sock.sendall(REQUEST.encode() + b"\r\n")
+            _, host = await self.accept_attempt()
+            await host.ended()
+        await self.wait_until(lambda: protocol.state is ConnectionState.CLOSED, "the client's close")
+        self.assertEqual(host.received, b"")
+        self.assertEqual([e.outcome for e in self.recorded_events(AttemptEnded)], [Outcome.CANCELLED])
+        self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
+
+    # Guards against a retry for a client that has closed with input that the node has not read yet.
+    async def test_no_further_attempt_starts_for_a_client_that_closed_behind_unread_input(self) -> None:
+        self.build()
+        sock, protocol = await self.connect_accepted()
+        sock.sendall(REQUEST.encode() + b"\r\n")
+        _, host = await self.accept_attempt()
+        await host.line()
+        (link,) = self.node.connections.upstreams
+        sock.sendall(UNREAD_INPUT)
+        sock.close()
+        link.finish(Outcome.ERROR)  # the host's answer, before the client's input is read
+        self.assertFalse(self.node.connections.upstreams)
+        await self.wait_until(lambda: protocol.state is ConnectionState.CLOSED, "the client's close")
+        self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
+
+    async def test_a_client_that_sends_more_before_its_answer_is_answered_err(self) -> None:
+        self.build()
+        client = await self.client()
+
+        with self.at_connect(lambda: client.transport.getHandle().sendall(UNREAD_INPUT)):
+            client.write(REQUEST.encode() + b"\r\n")
+            _, host = await self.accept_attempt()
+            await host.ended()
+        self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual(host.received, b"")
+
     async def test_a_connection_established_after_its_request_is_cancelled_is_closed_unused(self) -> None:
         self.build()
 
