A retried gRPC stream is sent from its first message on, whatever an earlier attempt has sent

Callers could see: a server that served a stream without its first messages.

Cause: the replay buffer's count of sent messages was set to 0 only when the new attempt's task ran. A commit in the turn before (the message over the buffer's limit, which the earlier attempt had sent) dropped those messages. A write of the earlier attempt that ended late counted for the new one.

Change: an attempt has a reader of the buffer of its own from its creation on; an earlier reader gets no message and counts for none.

--- a/puffindeck/rpc/attempt.py
+++ b/puffindeck/rpc/attempt.py
@@ -40,6 +40,7 @@
         "_deadline",
         "_endpoint",
         "_engine",
+        "_reader",
         "_sender",
         "_start_error",
         "_subchannel",
@@ -67,6 +68,8 @@
         self.library_call: LibraryCall | None = None  # None until it is started
         self.response: Any = NO_RESPONSE
         self._start_error: Exception | None = None
+        # The number of this attempt's reader of the request stream
+        self._reader = call.replay_buffer.restart() if call.replay_buffer is not None else 0
         self._subchannel = call.pool.acquire(address)
         if self._subchannel.ready() and self._engine.may_reach(endpoint):
             # Starting the call in the next loop iteration instead would add about a tenth to its latency.
@@ -155,7 +158,6 @@
             raise self._start_error
         library_call = self.started_call()
         if call.replay_buffer is not None:
-            call.replay_buffer.restart()
             self._sender = call.shared.loop.create_task(self._send_requests(library_call, call.replay_buffer))
         if call.method.response_stream:
             await self._receive_stream(library_call)
@@ -175,9 +177,9 @@
     async def _send_requests(self, library_call: LibraryCall, buffer: ReplayBuffer) -> None:
         """Send all messages that the application has written, in order, beginning with the first."""
         try:
-            while (message := await buffer.next()) is not END_OF_REQUESTS:
+            while (message := await buffer.next(self._reader)) is not END_OF_REQUESTS:
                 await library_call.write(message)
-                buffer.mark_sent()
+                buffer.mark_sent(self._reader)
             await library_call.done_writing()
         except (AioRpcError, asyncio.InvalidStateError, grpc.aio.UsageError):
             pass  # the library's call has ended, and its status has the cause
--- a/puffindeck/rpc/replay_buffer.py
+++ b/puffindeck/rpc/replay_buffer.py
@@ -20,7 +20,8 @@
         self._limit = limit
         self._messages: deque[Any] = deque()
         self._first_number = 0  # number of the oldest buffered message
-        self._sent_count = 0  # messages that the current attempt has sent
+        self._reader = 0  # number of the current reader, which is that of the latest attempt
+        self._sent_count = 0  # messages that the current reader has sent
         self.committed = False
         self.closed = False
         self._changed = asyncio.Event()
@@ -40,9 +41,14 @@
         self.closed = True
         self._changed.set()
 
-    def restart(self) -> None:
-        """Start a new attempt, which sends the messages from the first one on."""
+    def restart(self) -> int:
+        """Start a new attempt, and return the number of its reader, which begins with the first message.
+
+        This must be called as the attempt becomes the current one: a commit drops what the reader has sent.
+        """
         self._sent_count = 0
+        self._reader += 1
+        return self._reader
 
     def commit(self) -> None:
         """Commit the call, which can no longer be retried, and drop the messages that were sent."""
@@ -54,23 +60,27 @@
             self._messages.popleft()
             self._first_number += 1
 
-    def mark_sent(self) -> None:
-        """Record that the attempt has sent the message that `next` returned last."""
+    def mark_sent(self, reader: int) -> None:
+        """Record that a reader has sent the message that `next` returned last; ignored for an earlier one."""
+        if reader != self._reader:
+            return
         self._sent_count += 1
         if self.committed:
             self._drop_sent()
         self._changed.set()
 
     def all_sent(self) -> bool:
-        """Return whether the current attempt has sent all messages written so far."""
+        """Return whether the current reader has sent all messages written so far."""
         return self._sent_count >= len(self)
 
-    async def next(self) -> Any:
-        """Wait for the next message of the current attempt; END_OF_REQUESTS after the last one."""
-        while self.all_sent():
+    async def next(self, reader: int) -> Any:
+        """Wait for a reader's next message; END_OF_REQUESTS after the last one, and for an earlier reader."""
+        while reader == self._reader and self.all_sent():
             if self.closed:
                 return END_OF_REQUESTS
             await self.wait_for_change()
+        if reader != self._reader:
+            return END_OF_REQUESTS
         return self._messages[self._sent_count - self._first_number]
 
     async def wait_for_change(self) -> None:
