A partitioned gateway overdraws no window whose permits can't be allocated yet

Cause: Admission.admit walks all windows up to the request's time limit. Under a limit that is not strict the overdraft has a place in each of them, so the walk does not end at the first one, as it does in a connected fleet.

Change: only windows that begin in the next epoch at the latest are overdrawn, which are those that can have permits (voters propose the next epoch's allocation). A longer request is rejected with a retry delay, as in a connected fleet.

--- a/packages/quota/src/puffindeck_quota/admission.py
+++ b/packages/quota/src/puffindeck_quota/admission.py
@@ -53,13 +53,24 @@
                 ledger = tenant_limit.ledgers.get(window) or self._allocator.ledger(tenant_limit, window)
                 if may_consume and ledger.consume():
                     permits.windows.add(window)
-                elif not self.overdraw(charge, tenant_limit, window):
+                elif not (
+                    self._may_have_permits(tenant_limit, window, now_ms) and self.overdraw(charge, tenant_limit, window)
+                ):
                     ledger.rejected += 1
                     self.refund(charge)
                     retry_after_ms = self._retry_after_ms(tenant_limit, window, ledger, now_ms)
                     return Rejection(tenant_limit.limit.name, retry_after_ms)
         return charge
 
+    def _may_have_permits(self, tenant_limit: TenantLimit, window: int, now_ms: float) -> bool:
+        """Return whether permits of a window may be allocated by now: it begins in the next epoch at the latest.
+
+        A later window is not overdrawn either, so that a client's time limit does not decide how many windows are
+        charged.
+        """
+        start_ms = window * tenant_limit.limit.window_ms
+        return self._settings.epoch_at(start_ms) <= self._settings.epoch_at(now_ms) + 1
+
     def overdraw(self, charge: Charge, tenant_limit: TenantLimit, window: int) -> bool:
         """Admit a request, or one more second of a connection, without a permit.
 
--- a/packages/quota/tests/test_admission.py
+++ b/packages/quota/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from puffindeck_quota import Charge, ClockTooFar, Limit, Unit
+from puffindeck_quota import Charge, ClockTooFar, Limit, Rejection, Unit
 from puffindeck_testing.gateways import NAMES, WINDOW_MS, Gateways
 
 LIMITS = (Limit("acme", Unit.OPENED_CONNECTIONS, 200, WINDOW_MS),)
@@ -41,6 +41,23 @@
     assert connected.max_admitted() <= 200  # no overdraft without a partition
 
 
+# Guards against a gateway that charges every window up to a client's time limit, and answers nobody until then.
+def test_request_with_a_long_time_limit_is_rejected_during_partition_after_few_windows() -> None:
+    limit = Limit("acme", Unit.OPENED_CONNECTIONS, 200, WINDOW_MS, strict=False)
+    fleet = Gateways((limit,))
+    fleet.settle()
+    fleet.split({"e1"}, {"e2"}, {"e3"}, {"e4"}, {"e5"})
+    fleet.run(30, {"e1": 1.0})
+    quota = fleet.gateways["e1"]
+    assert isinstance(quota.admit("acme", fleet.now_ms, fleet.now_ms + 1500), Charge)
+    windows = quota._limits.for_tenant("acme")[0].ledgers
+    before = len(windows)
+    rejected = quota.admit("acme", fleet.now_ms, fleet.now_ms + 1000 * WINDOW_MS)
+    assert isinstance(rejected, Rejection)
+    assert rejected.retry_after_ms <= WINDOW_MS
+    assert len(windows) - before <= 2
+
+
 def test_gateway_with_skewed_clock_rejects_strict_limits_and_reports_it() -> None:
     fleet = Gateways(LIMITS)
     fleet.settle()
