A request is asked about a repeated id again before its line is sent to a host

Found by reading.

Cause: SentRequestIds.must_not_run was asked only as a line arrives, up to some attempts' time before the line is sent.

Change: UpstreamAttempts.before_send asks again unless this request itself has recorded the id, and answers ERR. No host is blamed.

--- a/puffindeck/core/sent_request_ids.py
+++ b/puffindeck/core/sent_request_ids.py
@@ -107,6 +107,14 @@
         self._rules = rules
         self._recorded_by: AttemptId | None = None  # the attempt for which the id was recorded
 
+    def may_send(self) -> bool:
+        """Return whether the request may be sent now.
+
+        Returns False if another request with its id may have run, and this one would have an effect. That one
+        may have been sent by another process, or its window may have ended, since this one arrived.
+        """
+        return self._recorded_by is not None or not self._ids.must_not_run(self._id, self._rules)
+
     def before_send(self, attempt: AttemptId) -> None:
         """Record the id, before an attempt's first byte is sent."""
         if self._ids.record(self._id, self._rules):
--- a/puffindeck/net/attempt.py
+++ b/puffindeck/net/attempt.py
@@ -23,8 +23,11 @@
     def may_reach(self, endpoint: int) -> bool:
         """Return whether the request's line may be sent to the endpoint at this moment."""
 
-    def before_send(self, link: UpstreamConnection) -> None:
-        """Handle that the first byte of the request's line is about to be sent."""
+    def before_send(self, link: UpstreamConnection) -> bool:
+        """Handle that the first byte of the request's line is about to be sent.
+
+        Returns False if it must not be sent. The client is then answered already.
+        """
 
     def on_up(self, link: UpstreamConnection) -> bool:
         """Hand over an accepted connection. Returns False if the client no longer waits for it."""
--- a/puffindeck/net/client.py
+++ b/puffindeck/net/client.py
@@ -18,7 +18,7 @@
 from puffindeck.net.connection_restore import ConnectionRestore
 from puffindeck.net.connection_state import FINISHED, SERVED, WITHOUT_REQUEST, ConnectionState
 from puffindeck.net.relay import Relay
-from puffindeck.net.request_line import CRLF, RequestLine, RequestLineError
+from puffindeck.net.request_line import CRLF, MAY_HAVE_RUN, RequestLine, RequestLineError
 from puffindeck.net.upstream_attempts import UpstreamAttempts
 
 
@@ -69,7 +69,7 @@
     def _check_not_run_before(self, head: RequestLine) -> None:
         """Raise RequestLineError if a host may have run the request and would run it again."""
         if self.services.sent_ids.must_not_run(head.id, self.services.rules_of(head)):
-            raise RequestLineError("a request with this id may have run, and must not run again")
+            raise RequestLineError(MAY_HAVE_RUN)
 
     def _await_readiness(self) -> None:
         """Answer a PING once readiness is known. Until then the client may be evicted."""
--- a/puffindeck/net/connection_restore.py
+++ b/puffindeck/net/connection_restore.py
@@ -129,8 +129,9 @@
         """Return whether the line may be sent to the host: the list has it, draining or not."""
         return self._engine.is_listed(endpoint)
 
-    def before_send(self, link: UpstreamConnection) -> None:
-        """Do nothing: the host has had the connection before."""
+    def before_send(self, link: UpstreamConnection) -> bool:
+        """Return True: the host has had the connection before."""
+        return True
 
     def on_closed(self, link: UpstreamConnection) -> None:
         """Remove a connection whose descriptor is released."""
--- a/puffindeck/net/request_line.py
+++ b/puffindeck/net/request_line.py
@@ -13,6 +13,7 @@
 # Signs, exponents and the underscores that Python's float() accepts are invalid.
 NUMBER_PATTERN = re.compile(rb"[0-9]{1,13}(\.[0-9]{1,9})?")
 MAX_NUMBER = 1e12  # far above 4294967 ms, which clients without a time limit send
+MAY_HAVE_RUN = "a request with this id may have run, and must not run again"  # why a line is rejected
 
 
 class RequestLineError(ValueError):
--- a/puffindeck/net/upstream_attempts.py
+++ b/puffindeck/net/upstream_attempts.py
@@ -9,6 +9,7 @@
 from puffindeck.core.sent_request_ids import RequestIdRecorder
 from puffindeck.interface import Outcome
 from puffindeck.net.attempt import Attempt
+from puffindeck.net.request_line import MAY_HAVE_RUN
 from puffindeck.net.upstream_connection import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -50,14 +51,21 @@
         """Return whether new work may still be sent to the host."""
         return self._engine.may_reach(endpoint)
 
-    def before_send(self, link: UpstreamConnection) -> None:
-        """Record the request's id, so that the request is not run again if it comes again."""
+    def before_send(self, link: UpstreamConnection) -> bool:
+        """Record the request's id, so that the request is not run again if it comes again.
+
+        Fails the request and returns False if a request with this id may have run since this one arrived.
+        """
         head = self._client.head
         assert head is not None
         if self._id_recorder is None:
             rules = self._services.rules_of(head)
             self._id_recorder = RequestIdRecorder(self._services.sent_ids, head.id, rules)
+        if not self._id_recorder.may_send():
+            self._client.reject_line(MAY_HAVE_RUN)
+            return False
         self._id_recorder.before_send(link.attempt_id)
+        return True
 
     def on_closed(self, link: UpstreamConnection) -> None:
         """Remove a connection whose descriptor is released."""
--- a/puffindeck/net/upstream_connection.py
+++ b/puffindeck/net/upstream_connection.py
@@ -103,16 +103,22 @@
             self.finish(Outcome.CONNECT_FAILED)
             return
         if not self._owner.is_waiting():  # the client left during the connect: not a failure of the host
-            self._engine.client_disconnected(self.attempt_id.request)
-            self.abandon()
+            self._cancel()
             return
         # Too late if the attempt's deadline or the time within which the request may be repeated has passed.
         if self._deadlines.clock.now() >= self._start_deadline:
             self.finish(Outcome.CONNECT_FAILED)
             return
-        self._owner.before_send(self)
+        if not self._owner.before_send(self):
+            self._cancel()
+            return
         protocol.send_head()
 
+    def _cancel(self) -> None:
+        """End the request and this attempt, because the client no longer waits."""
+        self._engine.client_disconnected(self.attempt_id.request)
+        self.abandon()
+
     def on_head_sent(self) -> None:
         """Record that every byte of the head has been passed to the system."""
         self.head_sent = True
--- a/tests/net/test_repeated_ids.py
+++ b/tests/net/test_repeated_ids.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
 from tempfile import mkdtemp
@@ -11,10 +13,11 @@
 
 from puffindeck.core.clock import monotonic_ms
 from puffindeck.core.sent_request_ids import MAX_IDS, SentRequestIds
-from puffindeck.interface import Effect
+from puffindeck.interface import AttemptEnded, Effect, Outcome
 from puffindeck.net import shared_id_file
 from puffindeck.net.logs import RateLimitedLog
 from puffindeck.net.shared_id_file import RECORD, SharedIdFile
+from puffindeck.net.upstream_protocol import UpstreamProtocol
 from tests.support.node_test_case import SETTINGS, NodeTestCase, Peer
 
 WINDOW_MS = 60000.0
@@ -82,6 +85,44 @@
             await self.assert_refused()
         await self.assert_served()
 
+    @contextmanager
+    def before_each_send(self, action: Callable[[], object]) -> Iterator[None]:
+        """Run an action whenever a connection to a host has come up, before the request's line is sent."""
+        connection_made = UpstreamProtocol.connectionMade
+
+        def run_action_first(protocol: UpstreamProtocol) -> None:
+            action()
+            connection_made(protocol)
+
+        with patch.object(UpstreamProtocol, "connectionMade", run_action_first):
+            yield
+
+    async def assert_failed_without_a_send(self) -> None:
+        """Assert that a request is answered ERR, that no host gets its line, and that no host is to blame."""
+        client = await self.client(LINE)
+        _, host = await self.accept_attempt()
+        await host.ended()
+        self.assertEqual(await client.line(), b"ERR")
+        self.assertEqual(host.received, b"")
+        self.assertEqual(self.recorded_events(AttemptEnded)[-1].outcome, Outcome.CANCELLED)
+        self.assertEqual(len(self.node.engine.requests), 0)
+
+    # Guards against a request that runs twice because the other process sends it while this one connects.
+    async def test_request_that_the_other_process_sends_during_the_connect_fails(self) -> None:
+        self.build(classes=(NOT_IDEMPOTENT,))
+        with self.before_each_send(lambda: self.node.sent_ids.record(b"feed", NOT_IDEMPOTENT)):
+            await self.assert_failed_without_a_send()
+
+    # Guards against a request that runs again because its key's window ends while it is being sent again.
+    async def test_request_whose_window_ends_during_the_connect_fails(self) -> None:
+        self.build(classes=(KEYED,))
+        await self.send_and_leave()
+        later_ms = monotonic_ms() + WINDOW_MS
+        later = patch("puffindeck.core.sent_request_ids.monotonic_ms", return_value=later_ms)
+        self.addCleanup(later.stop)
+        with self.before_each_send(later.start):
+            await self.assert_failed_without_a_send()
+
 
 class SharedIdTests(NodeTestCase):
     """Two processes of one node, during an upgrade."""
