An open connection needs a permit of the current window, also after its gateway was held up

Cause: PermitRenewal._renew_window_permit charged the next window only, in the last 2.5 s of the current one. A gateway that was paused then had no permit of the window in which it woke, and never asked.

Change: each renewal charges the current window if it is not charged; a connection for which no permit is left is moved at once.

--- a/packages/quota/src/puffindeck_quota/renewal.py
+++ b/packages/quota/src/puffindeck_quota/renewal.py
@@ -61,19 +61,30 @@
         )
 
     def _renew_window_permit(self, permits: ChargedPermits, now_ms: float) -> bool:
-        """Charge the next window before it begins. Return False if the connection has to be migrated now."""
+        """Charge the next window before it begins. Return False if the connection has to be migrated now.
+
+        A gateway that was held up over the end of a window has no permits for the current one, which it charges late.
+        """
         limit = permits.tenant_limit.limit
         current = limit.window_at(now_ms)
         permits.windows.difference_update([window for window in permits.windows if window < current - 1])
+        if not self._charge_window(permits, current):
+            return False
         window_left_ms = (current + 1) * limit.window_ms - now_ms
-        if window_left_ms > self._settings.epoch_ms / 2 or current + 1 in permits.windows:
-            return True
-        self._tenant_limits.active.add(permits.tenant_limit)
-        if self._allocator.ledger(permits.tenant_limit, current + 1).consume():
-            permits.windows.add(current + 1)
+        if window_left_ms > self._settings.epoch_ms / 2 or self._charge_window(permits, current + 1):
             return True
         return window_left_ms > self._settings.skew_ms + MIGRATION_MS
 
+    def _charge_window(self, permits: ChargedPermits, window: int) -> bool:
+        """Charge a connection for a window, unless it is charged already. Return False if no permit is available."""
+        if window in permits.windows:
+            return True
+        self._tenant_limits.active.add(permits.tenant_limit)
+        if not self._allocator.ledger(permits.tenant_limit, window).consume():
+            return False
+        permits.windows.add(window)
+        return True
+
     def _renew_second_permit(self, charge: Charge, tenant_limit: TenantLimit, now_ms: float) -> bool:
         """Charge one more second, once the connection is a second old. Return False if no permit is available."""
         if now_ms - charge.established_ms < MS_PER_SECOND:
