--- a/tests/net/test_repeated_ids.py
+++ b/tests/net/test_repeated_ids.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
 from tempfile import mkdtemp
@@ -17,7 +15,6 @@
 from puffindeck.net import shared_id_file
 from puffindeck.net.logs import RateLimitedLog
 from puffindeck.net.shared_id_file import RECORD, SharedIdFile
-from puffindeck.net.upstream_protocol import UpstreamProtocol
 from tests.support.node_test_case import SETTINGS, NodeTestCase, Peer
 
 WINDOW_MS = 60000.0
@@ -85,18 +82,6 @@
             await self.assert_refused()
         await self.assert_served()
 
-    @contextmanager
-    def before_each_send(self, action: Callable[[], object]) -> Iterator[None]:
-        """Run an action whenever a connection to a host has come up, before the request's line is sent."""
-        connection_made = UpstreamProtocol.connectionMade
-
-        def run_action_first(protocol: UpstreamProtocol) -> None:
-            action()
-            connection_made(protocol)
-
-        with patch.object(UpstreamProtocol, "connectionMade", run_action_first):
-            yield
-
     async def assert_failed_without_a_send(self) -> None:
         """Assert that a request is answered ERR, that no host gets its line, and that no host is to blame."""
         client = await self.client(LINE)
@@ -110,7 +95,7 @@
     # Guards against a request that runs twice because the other process sends it while this one connects.
     async def test_request_that_the_other_process_sends_during_the_connect_fails(self) -> None:
         self.build(classes=(NOT_IDEMPOTENT,))
-        with self.before_each_send(lambda: self.node.sent_ids.record(b"feed", NOT_IDEMPOTENT)):
+        with self.at_connect(lambda: self.node.sent_ids.record(b"feed", NOT_IDEMPOTENT)):
             await self.assert_failed_without_a_send()
 
     # Guards against a request that runs again because its key's window ends while it is being sent again.
@@ -120,7 +105,7 @@
         later_ms = monotonic_ms() + WINDOW_MS
         later = patch("puffindeck.core.sent_request_ids.monotonic_ms", return_value=later_ms)
         self.addCleanup(later.stop)
-        with self.before_each_send(later.start):
+        with self.at_connect(later.start):
             await self.assert_failed_without_a_send()
 
 
--- a/tests/net/test_upstream_attempts.py
+++ b/tests/net/test_upstream_attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
@@ -22,16 +21,6 @@
 class ClientDisconnectTests(RawClientTestCase):
     """Clients that have closed before the reactor notices."""
 
-    def at_connect(self, action: Callable[[], None]) -> Any:
-        """Return a patch that runs an action just before a host's new connection is handled."""
-        connection_made = UpstreamProtocol.connectionMade
-
-        def run_action_first(protocol: UpstreamProtocol) -> None:
-            action()
-            connection_made(protocol)
-
-        return patch.object(UpstreamProtocol, "connectionMade", run_action_first)
-
     async def test_no_attempt_starts_for_a_client_that_closes_right_after_its_request(self) -> None:
         self.build()
         sock, protocol = await self.connect_accepted()
@@ -42,25 +31,13 @@
         self.assertFalse(self.is_host_reached())
         self.assertEqual(len(self.recorded_events(ClientDisconnected)), 1)
 
-    async def test_no_byte_is_sent_if_the_client_left_during_the_connect(self) -> None:
-        self.build()
-        sock, protocol = await self.connect_accepted()
-        with self.at_connect(sock.close):
-            sock.sendall(REQUEST.encode() + b"\r\n")
-            _, host = await self.accept_attempt()
-            await host.ended()
-        await self.wait_until(lambda: protocol.state is ConnectionState.CLOSED, "the client's close")
-        self.assertEqual(host.received, b"")
-        self.assertEqual([e.outcome for e in self.recorded_events(AttemptEnded)], [Outcome.CANCELLED])
-        self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
-
-    # Guards against an attempt for a client that has closed with input that the node has not read yet.
-    async def test_no_byte_is_sent_if_the_client_closed_behind_unread_input(self) -> None:
+    async def assert_no_byte_is_sent_if_client_leaves_during_connect(self, unread_input: bytes) -> None:
+        """Have a client send `unread_input` and close while a connection to a host comes up."""
         self.build()
         sock, protocol = await self.connect_accepted()
 
         def send_and_close() -> None:
-            sock.sendall(UNREAD_INPUT)
+            sock.sendall(unread_input)
             sock.close()
 
         with self.at_connect(send_and_close):
@@ -72,6 +49,13 @@
         self.assertEqual([e.outcome for e in self.recorded_events(AttemptEnded)], [Outcome.CANCELLED])
         self.assertEqual(sum(len(h.peers) for h in self.hosts.values()), 1)
 
+    async def test_no_byte_is_sent_if_the_client_left_during_the_connect(self) -> None:
+        await self.assert_no_byte_is_sent_if_client_leaves_during_connect(b"")
+
+    # Guards against an attempt for a client that has closed with input that the node has not read yet.
+    async def test_no_byte_is_sent_if_the_client_closed_behind_unread_input(self) -> None:
+        await self.assert_no_byte_is_sent_if_client_leaves_during_connect(UNREAD_INPUT)
+
     # Guards against a retry for a client that has closed with input that the node has not read yet.
     async def test_no_further_attempt_starts_for_a_client_that_closed_behind_unread_input(self) -> None:
         self.build()
--- a/tests/support/node_test_case.py
+++ b/tests/support/node_test_case.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import Deferred, DeferredQueue, maybeDeferred
@@ -18,6 +19,7 @@
 from puffindeck.net.graceful_shutdown import GracefulShutdown
 from puffindeck.net.listening import Port
 from puffindeck.net.node import Node as NetNode
+from puffindeck.net.upstream_protocol import UpstreamProtocol
 from tests.support.gateway import SETTINGS as GATEWAY_SETTINGS
 
 reactor: Any = default_reactor
@@ -224,6 +226,16 @@
             peer.write(line.encode().replace(b"9b1f03aa5c7e2d41", b"%016x" % self.request_count) + b"\r\n")
         return peer
 
+    def at_connect(self, action: Callable[[], object]) -> Any:
+        """Return a patch that runs an action just before a host's new connection is handled."""
+        connection_made = UpstreamProtocol.connectionMade
+
+        def run_action_first(protocol: UpstreamProtocol) -> None:
+            action()
+            connection_made(protocol)
+
+        return patch.object(UpstreamProtocol, "connectionMade", run_action_first)
+
     async def accept_attempt(self, *excluded: str) -> tuple[str, Peer]:
         """Wait for a connection at a host that is not excluded; return the host's name and the connection."""
         await self.wait_until(
